--- /dev/null
+++ b/src/job/progress.cpp
@@ -0,0 +1,146 @@
+#include "job/progress.hpp"
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace lacewingquay::job
+{
+
+namespace
+{
+
+constexpr std::array<std::pair<state, std::string_view>, 5> state_names{
+    {{state::queued, "queued"},
+     {state::running, "running"},
+     {state::completed, "completed"},
+     {state::failed, "failed"},
+     {state::cancelled, "cancelled"}}};
+
+/// Stands for an empty text, as fields are separated by blanks.
+constexpr std::string_view no_text = "-";
+
+/// Takes the next field up to `separator` from `text`.
+std::string_view take_field(std::string_view& text, char separator)
+{
+    const std::size_t end = text.find(separator);
+    const std::string_view field = text.substr(0, end);
+    text = end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
+    return field;
+}
+
+template <typename Number>
+bool take_number(std::string_view& text, char separator, Number& value)
+{
+    const std::string_view field = take_field(text, separator);
+    const std::from_chars_result parsed =
+        std::from_chars(field.data(), field.data() + field.size(), value);
+    return parsed.ec == std::errc() && parsed.ptr == field.data() + field.size();
+}
+
+std::string text_field(std::string_view field)
+{
+    return field == no_text ? std::string() : std::string(field);
+}
+
+bool parse_task(std::string_view line, task_progress& task)
+{
+    int done = 0;
+    if (!take_number(line, '.', task.position.occurrence) ||
+        !take_number(line, '.', task.position.step) ||
+        !take_number(line, ' ', task.position.index) || !take_number(line, ' ', done) ||
+        !take_number(line, ' ', task.run) || !take_number(line, ' ', task.failures) ||
+        !take_number(line, ' ', task.failed_run))
+    {
+        return false;
+    }
+    task.done = done != 0;
+    task.server = text_field(take_field(line, ' '));
+    if (!take_number(line, ' ', task.server_born) || line.empty())
+    {
+        return false;
+    }
+    task.checkpoint = text_field(line);
+    return task.position.occurrence >= 0 && task.position.step >= 0 && task.position.index >= 0;
+}
+
+} // namespace
+
+std::string_view state_name(state value)
+{
+    for (const std::pair<state, std::string_view>& entry : state_names)
+    {
+        if (entry.first == value)
+        {
+            return entry.second;
+        }
+    }
+    return "unknown";
+}
+
+boost::leaf::result<state> parse_state(std::string_view text)
+{
+    for (const std::pair<state, std::string_view>& entry : state_names)
+    {
+        if (entry.second == text)
+        {
+            return entry.first;
+        }
+    }
+    return boost::leaf::new_error(
+        input_error{"state", std::string(text), "queued, running, completed, failed, cancelled"});
+}
+
+std::string serialize_progress(const progress& value)
+{
+    std::string text(state_name(value.shown));
+    text += ' ';
+    text += std::to_string(value.ended.count());
+    for (const task_progress& task : value.tasks)
+    {
+        text += '\n';
+        text += std::to_string(task.position.occurrence) + '.' +
+                std::to_string(task.position.step) + '.' + std::to_string(task.position.index);
+        text += task.done ? " 1 " : " 0 ";
+        text += std::to_string(task.run) + ' ' + std::to_string(task.failures) + ' ' +
+                std::to_string(task.failed_run) + ' ';
+        text += task.server.empty() ? no_text : std::string_view(task.server);
+        text += ' ' + std::to_string(task.server_born) + ' ';
+        text += task.checkpoint.empty() ? no_text : std::string_view(task.checkpoint);
+    }
+    return text;
+}
+
+boost::leaf::result<state> parse_progress_state(std::string_view text)
+{
+    std::string_view line = take_field(text, '\n');
+    return parse_state(take_field(line, ' '));
+}
+
+boost::leaf::result<progress> parse_progress(std::string_view text)
+{
+    progress result;
+    std::string_view head = take_field(text, '\n');
+    BOOST_LEAF_ASSIGN(result.shown, parse_state(take_field(head, ' ')));
+    std::int64_t ended = 0;
+    if (!take_number(head, ' ', ended))
+    {
+        return boost::leaf::new_error(
+            input_error{"progress", std::string(head), "the time of the final state"});
+    }
+    result.ended = milliseconds(ended);
+    while (!text.empty())
+    {
+        const std::string_view line = take_field(text, '\n');
+        task_progress task;
+        if (!parse_task(line, task))
+        {
+            return boost::leaf::new_error(
+                input_error{"progress", std::string(line.substr(0, 200)), "a task's progress"});
+        }
+        result.tasks.push_back(std::move(task));
+    }
+    return result;
+}
+
+} // namespace lacewingquay::job
--- /dev/null
+++ b/src/manager/context.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "core/clock.hpp"
+#include "http/connection_pool.hpp"
+#include "manager/configuration.hpp"
+#include "manager/mirror.hpp"
+#include "manager/ownership.hpp"
+#include "manager/settings.hpp"
+#include "platform/store.hpp"
+#include "platform/worker_calls.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace lacewingquay::manager
+{
+
+/// Names of rows.
+inline constexpr std::string_view jobs_table = "jobs";
+inline constexpr std::string_view progress_table = "progress";
+inline constexpr std::string_view operator_table = "op";
+inline constexpr std::string_view servers_table = "servers";
+inline constexpr std::string_view status_table = "status";
+inline constexpr std::string_view job_prefix = "j/";
+inline constexpr std::string_view cancel_prefix = "c/";
+inline constexpr std::string_view owner_key = "owner";
+
+/// Time for a read or a transaction; the store answers in some milliseconds, and in 0.3 s on its
+/// slow days.
+inline constexpr milliseconds read_timeout{800};
+inline constexpr milliseconds commit_timeout{800};
+
+/// What the parts of one daemon share. All run on one thread.
+struct context
+{
+    context(settings values, boost::asio::io_context& io_context)
+        : config(std::move(values)), io(io_context),
+          connections(io.get_executor(), http::pool_settings{}), store(connections, config.store),
+          workers(connections), machines(connections, config.machines, config.host),
+          owner(ownership_settings{}, config.host)
+    {
+    }
+
+    [[nodiscard]] steady_time now() const { return clock.steady_now(); }
+
+    /// The store's steady clock, from the latest answer that named it.
+    [[nodiscard]] milliseconds store_time() const
+    {
+        return store_clock + std::chrono::duration_cast<milliseconds>(now() - store_clock_read);
+    }
+
+    void note_store_time(milliseconds value)
+    {
+        if (value.count() > 0)
+        {
+            store_clock = value;
+            store_clock_read = now();
+        }
+    }
+
+    settings config;
+    boost::asio::io_context& io;
+    system_clock_source clock;
+    http::connection_pool connections;
+    adapter::store store;
+    adapter::worker_calls workers;
+    adapter::machine_calls machines;
+    ownership owner;
+    mirror jobs;
+    std::shared_ptr<const configuration> current;
+    milliseconds store_clock{0};
+    steady_time store_clock_read{};
+    /// The store has not answered since this time; unset while it answers.
+    bool store_away = false;
+    steady_time store_away_since{};
+    bool jobs_loaded = false;
+    bool stopping = false;
+};
+
+/// Waits; ends early without an error if the timer is cancelled.
+boost::asio::awaitable<void> pause(context& shared, milliseconds time);
+
+} // namespace lacewingquay::manager
--- /dev/null
+++ b/src/manager/daemon.cpp
@@ -0,0 +1,418 @@
+#include "manager/daemon.hpp"
+
+#include "cli/options.hpp"
+#include "core/log.hpp"
+#include "http/server.hpp"
+#include "job/progress.hpp"
+#include "job/record_text.hpp"
+#include "manager/context.hpp"
+#include "manager/feed.hpp"
+#include "manager/front.hpp"
+#include "manager/session.hpp"
+#include "platform/decode.hpp"
+#include "platform/settings.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <utility>
+
+namespace lacewingquay::manager
+{
+
+namespace
+{
+
+/// Time in which the platform's balancer notices that a host is not ready: two checks of 1 s.
+constexpr milliseconds balancer_notice{2'500};
+/// Pause between reads of a host that does not schedule: its callers may see jobs of other hosts
+/// this late.
+constexpr milliseconds follower_pause{300};
+/// The owner's pause between reads: jobs that arrive together are read together.
+constexpr milliseconds owner_pause{5};
+/// Progress serves counts that may be 2 s old, and callers during an outage.
+constexpr milliseconds progress_pause{800};
+/// Kept back from the stop's grace period.
+constexpr milliseconds stop_margin{900};
+
+/// The parts of the daemon and what joins them.
+class daemon
+{
+public:
+    explicit daemon(settings values)
+        : shared_(std::move(values), io_), front_(shared_), signals_(io_, SIGTERM, SIGHUP)
+    {
+    }
+
+    boost::leaf::result<void> run()
+    {
+        http::server_settings limits;
+        limits.body_limit = 262'144;
+        BOOST_LEAF_ASSIGN(callers_,
+                          http::server::listen(io_.get_executor(), shared_.config.callers, limits,
+                                               [this](http::request received)
+                                               { return front_.answer(std::move(received)); }));
+        BOOST_LEAF_ASSIGN(readiness_,
+                          http::server::listen(io_.get_executor(), shared_.config.readiness, limits,
+                                               [this](http::request) { return answer_ready(); }));
+        log_event(log_level::info, "started",
+                  {{"zone", shared_.config.availability_zone},
+                   {"callers", shared_.config.callers.text()},
+                   {"store", shared_.config.store.text()}});
+        spawn([this] { return front_.run(); });
+        spawn([this] { return follow_operator(); });
+        spawn([this] { return follow_jobs(); });
+        spawn([this] { return follow_progress(); });
+        spawn([this] { return watch_signals(); });
+        io_.run();
+        log_event(log_level::info, "stopped", {});
+        return {};
+    }
+
+private:
+    template <typename Work>
+    void spawn(Work work)
+    {
+        boost::asio::co_spawn(io_, std::move(work), boost::asio::detached);
+    }
+
+    boost::asio::awaitable<http::response> answer_ready()
+    {
+        const bool ready = shared_.current && shared_.jobs_loaded && !shared_.stopping;
+        co_return http::make_response(ready ? http::status::ok : http::status::service_unavailable,
+                                      "{}");
+    }
+
+    void apply_operator(const std::vector<adapter::row>& rows)
+    {
+        for (const adapter::row& row : rows)
+        {
+            if (row.removed || row.key != "config")
+            {
+                continue;
+            }
+            boost::leaf::try_handle_all(
+                [&]() -> boost::leaf::result<void>
+                {
+                    BOOST_LEAF_AUTO(parsed, adapter::parse_configuration(row.value));
+                    if (shared_.current && parsed.version <= shared_.current->version)
+                    {
+                        return {};
+                    }
+                    log_event(log_level::info, "configuration",
+                              {{"version", parsed.version},
+                               {"queues", parsed.queues.size()},
+                               {"row_version", row.version}});
+                    shared_.current = std::make_shared<configuration>(std::move(parsed));
+                    if (session_)
+                    {
+                        session_->configure();
+                    }
+                    return {};
+                },
+                [&](const input_error& error)
+                {
+                    log_event(log_level::error, "configuration_unreadable",
+                              {{"row_version", row.version}, {"reason", error.message()}});
+                },
+                [] {});
+        }
+    }
+
+    boost::asio::awaitable<void> follow_operator()
+    {
+        feed_settings feed;
+        feed.table = std::string(operator_table);
+        feed.pause = []
+        {
+            return milliseconds(0);
+        };
+        feed.apply = [this](const std::vector<adapter::row>& rows, bool)
+        {
+            apply_operator(rows);
+        };
+        feed.after_call = [](bool) {
+        };
+        feed.ended = []
+        {
+            return false;
+        };
+        co_await follow_table(shared_, std::move(feed));
+    }
+
+    void apply_owner(const adapter::row& row)
+    {
+        boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<void>
+            {
+                BOOST_LEAF_AUTO(owner, parse_owner(row.value));
+                shared_.owner.observe(owner, row.version, shared_.now());
+                return {};
+            },
+            [&](const input_error& error)
+            {
+                log_event(log_level::error, "owner_unreadable",
+                          {{"row_version", row.version}, {"reason", error.message()}});
+            },
+            [] {});
+    }
+
+    void apply_jobs(const std::vector<adapter::row>& rows)
+    {
+        for (const adapter::row& row : rows)
+        {
+            const std::string_view key = row.key;
+            if (key == owner_key && !row.removed)
+            {
+                apply_owner(row);
+            }
+            else if (key.starts_with(job_prefix))
+            {
+                const std::string_view id = key.substr(job_prefix.size());
+                if (row.removed)
+                {
+                    shared_.jobs.remove(id);
+                    continue;
+                }
+                shared_.jobs.add_job(id, queue_of(row));
+            }
+            else if (key.starts_with(cancel_prefix) && !row.removed)
+            {
+                shared_.jobs.cancel(key.substr(cancel_prefix.size()));
+            }
+        }
+        if (session_)
+        {
+            session_->apply_jobs(rows);
+        }
+    }
+
+    static std::string queue_of(const adapter::row& row)
+    {
+        return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<std::string>
+            {
+                BOOST_LEAF_AUTO(split, job::parse_record(row.value));
+                return split.head.from.name;
+            },
+            [&](const input_error& error)
+            {
+                log_event(log_level::error, "job_unreadable",
+                          {{"key", row.key}, {"reason", error.message()}});
+                return std::string();
+            },
+            [] { return std::string(); });
+    }
+
+    boost::asio::awaitable<void> follow_jobs()
+    {
+        feed_settings feed;
+        feed.table = std::string(jobs_table);
+        feed.pause = [this]
+        {
+            return session_ && !session_->ended() ? owner_pause : follower_pause;
+        };
+        feed.apply = [this](const std::vector<adapter::row>& rows, bool complete)
+        {
+            apply_jobs(rows);
+            if (complete && !shared_.owner.is_loaded())
+            {
+                shared_.owner.observe({}, 0, shared_.now());
+            }
+            shared_.jobs_loaded = true;
+        };
+        feed.after_call = [this](bool answered)
+        {
+            if (!answered)
+            {
+                shared_.owner.store_failed(shared_.now());
+                return;
+            }
+            consider_takeover();
+        };
+        feed.ended = []
+        {
+            return false;
+        };
+        co_await follow_table(shared_, std::move(feed));
+    }
+
+    boost::asio::awaitable<void> follow_progress()
+    {
+        feed_settings feed;
+        feed.table = std::string(progress_table);
+        feed.pause = []
+        {
+            return progress_pause;
+        };
+        feed.apply = [this](const std::vector<adapter::row>& rows, bool)
+        {
+            for (const adapter::row& row : rows)
+            {
+                if (row.removed)
+                {
+                    continue;
+                }
+                boost::leaf::try_handle_all(
+                    [&]() -> boost::leaf::result<void>
+                    {
+                        BOOST_LEAF_AUTO(shown, job::parse_progress_state(row.value));
+                        shared_.jobs.set_state(row.key, shown, row.version);
+                        return {};
+                    },
+                    [&](const input_error& error)
+                    {
+                        log_event(log_level::error, "progress_unreadable",
+                                  {{"job", row.key}, {"reason", error.message()}});
+                    },
+                    [] {});
+            }
+        };
+        feed.after_call = [](bool) {
+        };
+        feed.ended = []
+        {
+            return false;
+        };
+        co_await follow_table(shared_, std::move(feed));
+    }
+
+    void consider_takeover()
+    {
+        if (session_ && session_->ended())
+        {
+            session_.reset();
+        }
+        if (!session_ && !taking_over_ && !shared_.stopping &&
+            shared_.owner.should_take_over(shared_.now()))
+        {
+            taking_over_ = true;
+            spawn([this] { return take_over(); });
+        }
+    }
+
+    boost::asio::awaitable<void> take_over()
+    {
+        const std::int64_t term = shared_.owner.row().term + 1;
+        const std::int64_t seen = shared_.owner.version();
+        const owner_row mine{shared_.config.host, term, false};
+        adapter::transaction work;
+        work.conditions.push_back({std::string(jobs_table), std::string(owner_key), seen});
+        work.writes.push_back(
+            {std::string(jobs_table), std::string(owner_key), serialize_owner(mine)});
+        const adapter::commit_result result = co_await shared_.store.commit(work, commit_timeout);
+        taking_over_ = false;
+        log_event(log_level::info, "takeover",
+                  {{"term", term},
+                   {"seen_version", seen},
+                   {"former", shared_.owner.row().host},
+                   {"done", result.outcome == adapter::commit_outcome::done},
+                   {"reason", result.reason}});
+        if (result.outcome == adapter::commit_outcome::done)
+        {
+            shared_.note_store_time(result.store_time);
+            shared_.owner.observe(mine, result.version, shared_.now());
+            session_ = std::make_shared<session>(shared_, term, result.version);
+            session_->start();
+            co_return;
+        }
+        for (const adapter::row& row : result.current)
+        {
+            if (row.key == owner_key)
+            {
+                apply_owner(row);
+            }
+        }
+        if (result.outcome != adapter::commit_outcome::conflict)
+        {
+            shared_.owner.store_failed(shared_.now());
+        }
+    }
+
+    boost::asio::awaitable<void> watch_signals()
+    {
+        constexpr auto waiting = boost::asio::as_tuple(boost::asio::use_awaitable);
+        while (true)
+        {
+            const std::tuple<boost::system::error_code, int> received =
+                co_await signals_.async_wait(waiting);
+            if (std::get<0>(received))
+            {
+                co_return;
+            }
+            if (std::get<1>(received) == SIGTERM)
+            {
+                break;
+            }
+            log_event(log_level::info, "reload", {{"reason", "SIGHUP"}});
+        }
+        log_event(log_level::info, "stopping",
+                  {{"grace_ms", shared_.config.stop_grace.count()},
+                   {"connections", callers_->open_connections()}});
+        shared_.stopping = true;
+        const steady_time asked = shared_.now();
+        if (session_)
+        {
+            session_->release();
+        }
+        co_await pause(shared_, balancer_notice);
+        callers_->stop();
+        while (callers_->open_connections() > 0 &&
+               shared_.now() - asked < shared_.config.stop_grace - stop_margin)
+        {
+            co_await pause(shared_, milliseconds(50));
+        }
+        io_.stop();
+    }
+
+    boost::asio::io_context io_{1};
+    context shared_;
+    front front_;
+    boost::asio::signal_set signals_;
+    std::shared_ptr<http::server> callers_;
+    std::shared_ptr<http::server> readiness_;
+    std::shared_ptr<session> session_;
+    bool taking_over_ = false;
+};
+
+} // namespace
+
+int run_manager(std::span<const std::string> arguments)
+{
+    if (!arguments.empty())
+    {
+        std::cout
+            << "Usage: lacewingquay manage\n\nRuns the daemon of an entry host. Settings come "
+               "from the file named in LACEWINGQUAY_SETTINGS (docs/OPERATIONS.md).\n";
+        return arguments.front() == "--help" ? cli::exit_ok : cli::exit_usage;
+    }
+    return boost::leaf::try_handle_all(
+        []() -> boost::leaf::result<int>
+        {
+            BOOST_LEAF_AUTO(values, adapter::read_settings());
+            set_up_log(values.host, log_level::info);
+            // The daemon outlives its coroutines, which end with the process.
+            daemon& instance = *new daemon(std::move(values));
+            BOOST_LEAF_CHECK(instance.run());
+            std::cout.flush();
+            std::_Exit(cli::exit_ok);
+        },
+        [](const input_error& error)
+        {
+            std::cerr << "lacewingquay manage: " << error.message() << "\n";
+            return static_cast<int>(cli::exit_usage);
+        },
+        []
+        {
+            std::cerr << "lacewingquay manage: internal error\n";
+            return static_cast<int>(cli::exit_failure);
+        });
+}
+
+} // namespace lacewingquay::manager
--- /dev/null
+++ b/src/manager/feed.cpp
@@ -0,0 +1,135 @@
+#include "manager/feed.hpp"
+
+#include "core/log.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace lacewingquay::manager
+{
+
+namespace
+{
+
+/// Pause after a failed call; a fraction of the time in which a configuration must be in force.
+constexpr milliseconds retry_pause{150};
+
+void note_answer(context& shared, std::string_view table, bool answered, std::string_view reason)
+{
+    if (answered && shared.store_away)
+    {
+        shared.store_away = false;
+        log_event(log_level::info, "store_regained",
+                  {{"table", table},
+                   {"away_ms",
+                    std::chrono::duration_cast<milliseconds>(shared.now() - shared.store_away_since)
+                        .count()}});
+    }
+    else if (!answered && !shared.store_away)
+    {
+        shared.store_away = true;
+        shared.store_away_since = shared.now();
+        log_event(log_level::warning, "store_lost", {{"table", table}, {"reason", reason}});
+    }
+}
+
+} // namespace
+
+boost::asio::awaitable<void> pause(context& shared, milliseconds time)
+{
+    boost::asio::steady_timer timer(shared.io.get_executor(), time);
+    co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+}
+
+boost::asio::awaitable<table_read> read_table(context& shared, std::string table)
+{
+    table_read result;
+    std::string from;
+    bool first = true;
+    while (true)
+    {
+        adapter::read_result page = co_await shared.store.read(table, from, read_timeout);
+        note_answer(shared, table, page.ok, page.reason);
+        if (!page.ok)
+        {
+            co_return result;
+        }
+        shared.note_store_time(page.store_time);
+        result.version = first ? page.version : result.version;
+        first = false;
+        for (adapter::row& row : page.rows)
+        {
+            result.rows.push_back(std::move(row));
+        }
+        if (!page.has_more || page.rows.empty())
+        {
+            result.ok = true;
+            co_return result;
+        }
+        // The least key above the last one that was read.
+        from = result.rows.back().key + '\x01';
+    }
+}
+
+boost::asio::awaitable<void> follow_table(context& shared, feed_settings feed)
+{
+    std::int64_t version = 0;
+    bool complete = false;
+    while (!feed.ended())
+    {
+        if (!complete)
+        {
+            table_read all = co_await read_table(shared, feed.table);
+            if (feed.ended())
+            {
+                co_return;
+            }
+            feed.after_call(all.ok);
+            if (!all.ok || all.version < version)
+            {
+                co_await pause(shared, retry_pause);
+                continue;
+            }
+            complete = true;
+            version = all.version;
+            feed.apply(all.rows, true);
+            feed.after_call(true);
+        }
+        const milliseconds wanted_pause = feed.pause();
+        if (wanted_pause.count() > 0)
+        {
+            co_await pause(shared, wanted_pause);
+        }
+        adapter::read_result news =
+            co_await shared.store.watch(feed.table, version, feed.wait, read_timeout);
+        if (feed.ended())
+        {
+            co_return;
+        }
+        note_answer(shared, feed.table, news.ok || news.history_lost, news.reason);
+        if (news.history_lost)
+        {
+            log_event(log_level::info, "feed_history_lost",
+                      {{"table", feed.table}, {"version", version}});
+            complete = false;
+            continue;
+        }
+        if (!news.ok)
+        {
+            feed.after_call(false);
+            co_await pause(shared, retry_pause);
+            continue;
+        }
+        shared.note_store_time(news.store_time);
+        if (!news.rows.empty())
+        {
+            feed.apply(news.rows, false);
+        }
+        version = std::max(version, news.version);
+        feed.after_call(true);
+    }
+}
+
+} // namespace lacewingquay::manager
--- /dev/null
+++ b/src/manager/feed.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "manager/context.hpp"
+#include "platform/store.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace lacewingquay::manager
+{
+
+/// How a table is followed.
+struct feed_settings
+{
+    std::string table;
+    /// Longest wait of one call for a change.
+    milliseconds wait{1'000};
+    /// Least time between two calls; asked before each.
+    std::function<milliseconds()> pause;
+    /// Takes changed rows in order. After a full read, `complete` is true and rows that are not
+    /// named do not exist.
+    std::function<void(const std::vector<adapter::row>& rows, bool complete)> apply;
+    /// Called after each call, with whether it was answered.
+    std::function<void(bool answered)> after_call;
+    /// Ends the feed once it returns true.
+    std::function<bool()> ended;
+};
+
+/// All rows of a table and the version from which its feed continues.
+struct table_read
+{
+    bool ok = false;
+    std::vector<adapter::row> rows;
+    std::int64_t version = 0;
+};
+
+/// Reads a table over all pages.
+boost::asio::awaitable<table_read> read_table(context& shared, std::string table);
+
+/// Follows a table: reads it in full, then its changes; reads it again when the store has dropped
+/// the history. Reads that are older than what was seen are repeated.
+boost::asio::awaitable<void> follow_table(context& shared, feed_settings feed);
+
+} // namespace lacewingquay::manager
--- /dev/null
+++ b/src/manager/front.cpp
@@ -0,0 +1,369 @@
+#include "manager/front.hpp"
+
+#include "core/log.hpp"
+#include "job/progress.hpp"
+#include "job/record_text.hpp"
+#include "platform/decode.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace lacewingquay::manager
+{
+
+namespace
+{
+
+constexpr auto waiting = boost::asio::as_tuple(boost::asio::use_awaitable);
+
+/// Digits of a job's id (platform page).
+constexpr std::size_t id_length = 16;
+/// Bytes of a stored row (platform page).
+constexpr std::size_t max_row_bytes = 65'536;
+/// Time that a caller waits if it does not say so.
+constexpr milliseconds default_patience{3'000};
+/// Kept back from the caller's time for the way of the answer.
+constexpr milliseconds answer_margin{250};
+/// When to come back while the store is away; its outages last some seconds.
+constexpr int outage_retry_seconds = 2;
+/// Entries of one transaction: a condition and a write for each job.
+constexpr std::size_t max_group = 45;
+
+http::response refusal(http::status code, std::string_view error, int retry_after_seconds)
+{
+    http::response answer =
+        http::make_response(code, boost::json::serialize(boost::json::object{{"error", error}}));
+    if (retry_after_seconds > 0)
+    {
+        answer.set(boost::beast::http::field::retry_after, std::to_string(retry_after_seconds));
+    }
+    return answer;
+}
+
+bool is_job_id(std::string_view text)
+{
+    return text.size() == id_length && std::all_of(text.begin(), text.end(),
+                                                   [](char digit)
+                                                   {
+                                                       return (digit >= '0' && digit <= '9') ||
+                                                              (digit >= 'a' && digit <= 'f') ||
+                                                              (digit >= 'A' && digit <= 'F');
+                                                   });
+}
+
+std::string_view host_of(const http::request& received)
+{
+    const std::string_view host = received[boost::beast::http::field::host];
+    return host.substr(0, host.find(':'));
+}
+
+milliseconds patience_of(const http::request& received)
+{
+    const std::string_view text = received["Deadline-Ms"];
+    std::int64_t value = 0;
+    const std::from_chars_result parsed =
+        std::from_chars(text.data(), text.data() + text.size(), value);
+    return parsed.ec == std::errc() && value > 0 ? milliseconds(value) : default_patience;
+}
+
+http::response state_answer(job::state shown)
+{
+    return http::make_response(http::status::ok,
+                               R"({"state":")" + std::string(job::state_name(shown)) + "\"}");
+}
+
+} // namespace
+
+front::front(context& shared)
+    : shared_(shared), wake_(shared.io.get_executor(), std::chrono::steady_clock::time_point::max())
+{
+}
+
+boost::asio::awaitable<http::response> front::answer(http::request received)
+{
+    const std::shared_ptr<const configuration> current = shared_.current;
+    if (!current)
+    {
+        ++counters_.refused;
+        co_return refusal(http::status::service_unavailable, "no configuration yet", 1);
+    }
+    const std::string_view target = received.target();
+    const std::string path(target.substr(0, target.find('?')));
+    const job::queue* found = current->find_queue(host_of(received), path);
+    if (found == nullptr)
+    {
+        co_return refusal(http::status::not_found, "no queue has this host and path", 0);
+    }
+    const job::queue queue = *found;
+    std::string id = path.substr(queue.prefix.size());
+    const steady_time give_up = shared_.now() + patience_of(received) - answer_margin;
+    if (received.method() == http::method::get && id.empty())
+    {
+        co_return http::make_response(http::status::ok,
+                                      R"({"waiting":)" +
+                                          std::to_string(shared_.jobs.waiting(queue.name)) + "}");
+    }
+    if (!is_job_id(id))
+    {
+        co_return refusal(received.method() == http::method::post ? http::status::bad_request
+                                                                  : http::status::gone,
+                          "a job's id has 16 hexadecimal digits", 0);
+    }
+    switch (received.method())
+    {
+    case http::method::post:
+        co_return co_await submit(queue, std::move(id), std::move(received.body()), give_up);
+    case http::method::get:
+        co_return co_await show(std::move(id));
+    case http::method::delete_:
+        co_return co_await cancel(std::move(id), give_up);
+    default:
+        co_return refusal(http::status::method_not_allowed, "POST, GET or DELETE", 0);
+    }
+}
+
+boost::asio::awaitable<http::response> front::submit(const job::queue& queue, std::string id,
+                                                     std::string body, steady_time give_up)
+{
+    if (shared_.jobs.state_of(id))
+    {
+        co_return http::make_response(http::status::ok, "{}");
+    }
+    const std::string malformed = boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::string>
+        {
+            BOOST_LEAF_CHECK(adapter::parse_job(body));
+            return std::string();
+        },
+        [](const input_error& error) { return error.message(); },
+        [] { return std::string("the job cannot be read"); });
+    if (!malformed.empty())
+    {
+        log_event(log_level::info, "job_malformed", {{"job", id}, {"reason", malformed}});
+        co_return refusal(http::status::bad_request, malformed, 0);
+    }
+    std::string value = job::serialize_record({queue, shared_.store_time()}, body);
+    if (value.size() > max_row_bytes)
+    {
+        co_return refusal(http::status::payload_too_large, "the job is too large to be stored", 0);
+    }
+    if (shared_.store_away)
+    {
+        ++counters_.refused;
+        log_event(log_level::info, "job_refused",
+                  {{"job", id}, {"queue", queue.name}, {"reason", "the store is away"}});
+        co_return refusal(http::status::service_unavailable, "the store is away",
+                          outage_retry_seconds);
+    }
+    const adapter::commit_outcome outcome =
+        co_await store_row(std::string(job_prefix) + id, std::move(value), true, give_up);
+    if (outcome == adapter::commit_outcome::done)
+    {
+        ++counters_.accepted;
+        shared_.jobs.add_job(id, queue.name);
+        log_event(log_level::info, "job_accepted", {{"job", id}, {"queue", queue.name}});
+        co_return http::make_response(http::status::ok, "{}");
+    }
+    const bool doubtful = outcome == adapter::commit_outcome::unknown;
+    ++(doubtful ? counters_.uncertain : counters_.refused);
+    log_event(log_level::warning, doubtful ? "job_uncertain" : "job_refused",
+              {{"job", id}, {"queue", queue.name}, {"reason", "the store did not take it"}});
+    if (doubtful)
+    {
+        co_return refusal(http::status::gateway_timeout, "the job may have been stored", 1);
+    }
+    co_return refusal(http::status::service_unavailable, "the store did not take the job",
+                      outage_retry_seconds);
+}
+
+boost::asio::awaitable<http::response> front::show(std::string id)
+{
+    ++counters_.state_reads;
+    const std::optional<job::state> known = shared_.jobs.state_of(id);
+    if ((known && job::is_final(*known)) || (known && shared_.store_away))
+    {
+        co_return state_answer(*known);
+    }
+    if (!known)
+    {
+        const adapter::read_result row =
+            co_await shared_.store.read_row(jobs_table, std::string(job_prefix) + id, read_timeout);
+        if (!row.ok)
+        {
+            co_return refusal(http::status::service_unavailable, "the store is away",
+                              outage_retry_seconds);
+        }
+        if (row.rows.empty())
+        {
+            co_return refusal(http::status::gone, "no such job", 0);
+        }
+    }
+    const adapter::read_result row =
+        co_await shared_.store.read_row(progress_table, id, read_timeout);
+    job::state shown = known.value_or(job::state::queued);
+    if (row.ok && !row.rows.empty())
+    {
+        shown = boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<job::state>
+            { return job::parse_progress_state(row.rows.front().value); },
+            [&](const input_error& error)
+            {
+                log_event(log_level::warning, "progress_unreadable",
+                          {{"job", id}, {"reason", error.message()}});
+                return shown;
+            },
+            [&] { return shown; });
+        shared_.jobs.set_state(id, shown, row.rows.front().version);
+    }
+    else if (!row.ok && !known)
+    {
+        co_return refusal(http::status::service_unavailable, "the store is away",
+                          outage_retry_seconds);
+    }
+    co_return state_answer(shared_.jobs.state_of(id).value_or(shown));
+}
+
+boost::asio::awaitable<http::response> front::cancel(std::string id, steady_time give_up)
+{
+    const std::optional<job::state> known = shared_.jobs.state_of(id);
+    if (known && job::is_final(*known))
+    {
+        co_return http::make_response(http::status::ok, "{}");
+    }
+    if (!known)
+    {
+        const adapter::read_result row =
+            co_await shared_.store.read_row(jobs_table, std::string(job_prefix) + id, read_timeout);
+        if (!row.ok)
+        {
+            co_return refusal(http::status::service_unavailable, "the store is away",
+                              outage_retry_seconds);
+        }
+        if (row.rows.empty())
+        {
+            co_return refusal(http::status::gone, "no such job", 0);
+        }
+    }
+    const adapter::commit_outcome outcome =
+        co_await store_row(std::string(cancel_prefix) + id, "{}", false, give_up);
+    log_event(log_level::info, "job_cancel",
+              {{"job", id}, {"stored", outcome == adapter::commit_outcome::done}});
+    if (outcome == adapter::commit_outcome::done)
+    {
+        ++counters_.cancelled;
+        shared_.jobs.cancel(id);
+        co_return http::make_response(http::status::ok, "{}");
+    }
+    co_return refusal(outcome == adapter::commit_outcome::unknown
+                          ? http::status::gateway_timeout
+                          : http::status::service_unavailable,
+                      "the store did not confirm the cancellation", outage_retry_seconds);
+}
+
+boost::asio::awaitable<adapter::commit_outcome> front::store_row(std::string key, std::string value,
+                                                                 bool is_new, steady_time give_up)
+{
+    std::shared_ptr<submission> entry =
+        std::make_shared<submission>(shared_, std::move(key), std::move(value), is_new);
+    entry->give_up = give_up;
+    queue_.push_back(entry);
+    wake_.cancel();
+    while (!entry->done)
+    {
+        co_await entry->settled.async_wait(waiting);
+    }
+    co_return entry->outcome;
+}
+
+void front::settle(submission& entry, adapter::commit_outcome outcome)
+{
+    entry.outcome = outcome;
+    entry.done = true;
+    entry.settled.cancel();
+}
+
+void front::take_result(std::vector<std::shared_ptr<submission>>& group,
+                        const adapter::commit_result& result)
+{
+    using adapter::commit_outcome;
+    const steady_time now = shared_.now();
+    for (std::shared_ptr<submission>& entry : group)
+    {
+        const bool exists = std::any_of(result.current.begin(), result.current.end(),
+                                        [&](const adapter::row& row)
+                                        { return row.key == entry->key && row.version > 0; });
+        if (result.outcome == commit_outcome::done ||
+            (result.outcome == commit_outcome::conflict && entry->is_new && exists))
+        {
+            settle(*entry, commit_outcome::done);
+            continue;
+        }
+        entry->in_doubt = entry->in_doubt || result.outcome == commit_outcome::unknown;
+        if (result.outcome == commit_outcome::refused && !entry->in_doubt)
+        {
+            settle(*entry, commit_outcome::refused);
+        }
+        else if (now >= entry->give_up)
+        {
+            settle(*entry, commit_outcome::unknown);
+        }
+        else
+        {
+            queue_.push_back(std::move(entry));
+        }
+    }
+}
+
+boost::asio::awaitable<void> front::run()
+{
+    constexpr milliseconds retry_pause{100};
+    while (true)
+    {
+        if (queue_.empty())
+        {
+            wake_.expires_at(std::chrono::steady_clock::time_point::max());
+            co_await wake_.async_wait(waiting);
+            continue;
+        }
+        std::vector<std::shared_ptr<submission>> group;
+        adapter::transaction work;
+        const std::size_t count = std::min(queue_.size(), max_group);
+        milliseconds patience = commit_timeout;
+        for (std::size_t index = 0; index < count; ++index)
+        {
+            const std::shared_ptr<submission>& entry = queue_[index];
+            if (std::any_of(group.begin(), group.end(),
+                            [&](const std::shared_ptr<submission>& other)
+                            { return other->key == entry->key; }))
+            {
+                // The same job twice in one transaction; it joins the next one.
+                continue;
+            }
+            group.push_back(entry);
+            if (entry->is_new)
+            {
+                work.conditions.push_back({std::string(jobs_table), entry->key, 0});
+            }
+            work.writes.push_back({std::string(jobs_table), entry->key, entry->value});
+            patience = std::min(patience,
+                                std::max(milliseconds(50), std::chrono::duration_cast<milliseconds>(
+                                                               entry->give_up - shared_.now())));
+        }
+        std::erase_if(queue_, [&](const std::shared_ptr<submission>& entry)
+                      { return std::find(group.begin(), group.end(), entry) != group.end(); });
+        const adapter::commit_result result = co_await shared_.store.commit(work, patience);
+        shared_.note_store_time(result.store_time);
+        take_result(group, result);
+        if (result.outcome == adapter::commit_outcome::unknown ||
+            result.outcome == adapter::commit_outcome::refused)
+        {
+            co_await pause(shared_, retry_pause);
+        }
+    }
+}
+
+} // namespace lacewingquay::manager
--- /dev/null
+++ b/src/manager/front.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "http/message.hpp"
+#include "manager/context.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lacewingquay::manager
+{
+
+/// Counters of answers, for metrics.
+struct front_counters
+{
+    std::uint64_t accepted = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t uncertain = 0;
+    std::uint64_t cancelled = 0;
+    std::uint64_t state_reads = 0;
+};
+
+/// Answers callers: takes jobs, shows their state and cancels them. A job is acknowledged only once
+/// its row is stored; jobs that arrive together are stored in one transaction.
+class front
+{
+public:
+    explicit front(context& shared);
+
+    /// Answers one request.
+    boost::asio::awaitable<http::response> answer(http::request received);
+
+    /// Stores submitted jobs until the daemon ends.
+    boost::asio::awaitable<void> run();
+
+    [[nodiscard]] const front_counters& counters() const { return counters_; }
+
+private:
+    /// A write that callers wait for.
+    struct submission
+    {
+        submission(context& shared, std::string row_key, std::string text, bool must_be_new)
+            : key(std::move(row_key)), value(std::move(text)), is_new(must_be_new),
+              settled(shared.io.get_executor(), std::chrono::steady_clock::time_point::max())
+        {
+        }
+
+        std::string key;
+        std::string value;
+        /// The row must not exist yet; if it does, it was stored by an earlier attempt.
+        bool is_new;
+        /// Cancelled once `outcome` is known.
+        boost::asio::steady_timer settled;
+        adapter::commit_outcome outcome = adapter::commit_outcome::unknown;
+        /// An attempt was sent and not answered, so that it may still be performed.
+        bool in_doubt = false;
+        bool done = false;
+        steady_time give_up{};
+    };
+
+    boost::asio::awaitable<adapter::commit_outcome> store_row(std::string key, std::string value,
+                                                              bool is_new, steady_time give_up);
+    boost::asio::awaitable<http::response> submit(const job::queue& queue, std::string id,
+                                                  std::string body, steady_time give_up);
+    boost::asio::awaitable<http::response> show(std::string id);
+    boost::asio::awaitable<http::response> cancel(std::string id, steady_time give_up);
+    void settle(submission& entry, adapter::commit_outcome outcome);
+    void take_result(std::vector<std::shared_ptr<submission>>& group,
+                     const adapter::commit_result& result);
+
+    context& shared_;
+    std::vector<std::shared_ptr<submission>> queue_;
+    boost::asio::steady_timer wake_;
+    front_counters counters_;
+};
+
+} // namespace lacewingquay::manager
--- /dev/null
+++ b/src/manager/ownership.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "core/clock.hpp"
+
+#include <boost/leaf.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace lacewingquay::manager
+{
+
+/// The stored row that names the host which schedules.
+struct owner_row
+{
+    std::string host;
+    /// Rises with each takeover; the fencing token of the owner's orders.
+    std::int64_t term = 0;
+    /// The owner has handed over.
+    bool released = false;
+};
+
+[[nodiscard]] std::string serialize_owner(const owner_row& value);
+[[nodiscard]] boost::leaf::result<owner_row> parse_owner(std::string_view text);
+
+/// Settings of `ownership`.
+struct ownership_settings
+{
+    /// The owner renews its row this often.
+    milliseconds renewal{700};
+    /// An owner that has not renewed for this long is taken for lost: three renewals.
+    milliseconds silence{2'100};
+    /// Spreads the hosts' attempts to take over.
+    milliseconds spread{400};
+};
+
+/// Decides when this host may try to become the owner. The attempt itself is a transaction whose
+/// condition is the version of the row that was seen.
+class ownership
+{
+public:
+    ownership(ownership_settings values, std::string host);
+
+    /// The row was read with this version; 0 if it does not exist.
+    void observe(const owner_row& row, std::int64_t version, steady_time now);
+
+    /// The store failed to answer. An owner could not renew meanwhile either, so its silence is
+    /// measured anew.
+    void store_failed(steady_time now);
+
+    /// True if this host should try to take over; to be asked right after an answer of the store.
+    [[nodiscard]] bool should_take_over(steady_time now) const;
+
+    [[nodiscard]] const owner_row& row() const { return row_; }
+    [[nodiscard]] std::int64_t version() const { return version_; }
+    [[nodiscard]] bool is_loaded() const { return loaded_; }
+
+private:
+    ownership_settings settings_;
+    std::string host_;
+    owner_row row_;
+    std::int64_t version_ = 0;
+    bool loaded_ = false;
+    steady_time last_change_{};
+};
+
+} // namespace lacewingquay::manager
--- /dev/null
+++ b/src/manager/session.cpp
@@ -0,0 +1,594 @@
+#include "manager/session.hpp"
+
+#include "core/log.hpp"
+#include "job/record_text.hpp"
+#include "manager/feed.hpp"
+#include "platform/decode.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingquay::manager
+{
+
+namespace
+{
+
+constexpr auto waiting = boost::asio::as_tuple(boost::asio::use_awaitable);
+
+/// Least time between two commits: more changes share one transaction.
+constexpr milliseconds commit_interval{20};
+/// Longest time between two rounds of the commit loop, for leases and due times.
+constexpr milliseconds longest_round{100};
+/// Rows of progress in one transaction; the rest of its entries are conditions and the owner's row.
+constexpr std::size_t max_progress_rows = 90;
+/// An order is answered within some milliseconds; a lost one is repeated once.
+constexpr milliseconds order_timeout{400};
+/// The answer to a look waits this long for an end.
+constexpr milliseconds look_wait{1'000};
+constexpr milliseconds look_timeout{700};
+/// Ends that come together are read with one look.
+constexpr milliseconds look_interval{50};
+constexpr milliseconds failed_look_pause{300};
+/// Orders that are sent to one server at the same time.
+constexpr std::size_t order_lanes = 2;
+
+} // namespace
+
+session::session(context& shared, std::int64_t term, std::int64_t owner_version)
+    : shared_(shared), scheduler_(scheduler::settings{}), term_(term),
+      owner_version_(owner_version), last_renewal_(shared.now()), last_commit_(shared.now()),
+      wake_(shared.io.get_executor())
+{
+}
+
+void session::start()
+{
+    boost::asio::co_spawn(
+        shared_.io, [self = shared_from_this()] { return self->load(); }, boost::asio::detached);
+}
+
+void session::end(std::string_view reason)
+{
+    if (ended_)
+    {
+        return;
+    }
+    ended_ = true;
+    log_event(log_level::warning, "ownership_ended", {{"term", term_}, {"reason", reason}});
+    wake_.cancel();
+    for (const auto& entry : served_)
+    {
+        entry.second->cancel();
+    }
+}
+
+void session::configure()
+{
+    if (shared_.current)
+    {
+        scheduler_.configure(*shared_.current);
+    }
+}
+
+void session::release()
+{
+    releasing_ = true;
+    wake_.cancel();
+}
+
+boost::asio::awaitable<void> session::load()
+{
+    const std::shared_ptr<session> self = shared_from_this();
+    table_read servers;
+    table_read progress;
+    table_read jobs;
+    while (!ended_)
+    {
+        servers = co_await read_table(shared_, std::string(servers_table));
+        progress =
+            servers.ok ? co_await read_table(shared_, std::string(progress_table)) : table_read{};
+        jobs = progress.ok ? co_await read_table(shared_, std::string(jobs_table)) : table_read{};
+        if (jobs.ok && jobs.version >= owner_version_ && shared_.current)
+        {
+            break;
+        }
+        co_await pause(shared_, milliseconds(100));
+    }
+    if (ended_)
+    {
+        co_return;
+    }
+    configure();
+    apply_servers(servers.rows, true);
+    std::map<std::string, const adapter::row*> stored;
+    for (const adapter::row& row : progress.rows)
+    {
+        stored[row.key] = &row;
+    }
+    for (const adapter::row& row : jobs.rows)
+    {
+        if (!row.key.starts_with(job_prefix))
+        {
+            continue;
+        }
+        const auto found = stored.find(row.key.substr(job_prefix.size()));
+        const job::progress* known = nullptr;
+        job::progress parsed;
+        if (found != stored.end())
+        {
+            known = boost::leaf::try_handle_all(
+                [&]() -> boost::leaf::result<const job::progress*>
+                {
+                    BOOST_LEAF_ASSIGN(parsed, job::parse_progress(found->second->value));
+                    return &parsed;
+                },
+                [&](const input_error& error) -> const job::progress*
+                {
+                    log_event(log_level::error, "progress_unreadable",
+                              {{"job", found->first}, {"reason", error.message()}});
+                    return nullptr;
+                },
+                []() -> const job::progress* { return nullptr; });
+        }
+        apply_job(row, known);
+    }
+    loaded_ = true;
+    apply_jobs(jobs.rows);
+    log_event(log_level::info, "ownership_loaded",
+              {{"term", term_},
+               {"jobs", scheduler_.active_jobs()},
+               {"servers", scheduler_.servers().size()}});
+    boost::asio::co_spawn(
+        shared_.io, [self] { return self->commit_loop(); }, boost::asio::detached);
+    feed_settings feed;
+    feed.table = std::string(servers_table);
+    feed.pause = []
+    {
+        return milliseconds(100);
+    };
+    feed.apply = [self](const std::vector<adapter::row>& rows, bool complete)
+    {
+        self->apply_servers(rows, complete);
+    };
+    feed.after_call = [](bool) {
+    };
+    feed.ended = [self]
+    {
+        return self->ended_;
+    };
+    co_await follow_table(shared_, std::move(feed));
+}
+
+void session::apply_job(const adapter::row& row, const job::progress* stored)
+{
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void>
+        {
+            BOOST_LEAF_AUTO(split, job::parse_record(row.value));
+            job::record record;
+            record.id = row.key.substr(job_prefix.size());
+            record.queue = std::move(split.head.from);
+            record.accepted = split.head.accepted;
+            BOOST_LEAF_ASSIGN(record.work, adapter::parse_job(split.body));
+            const milliseconds age =
+                std::max(milliseconds(0), shared_.store_time() - record.accepted);
+            scheduler_.add_job(std::move(record), stored, age, shared_.now());
+            return {};
+        },
+        [&](const input_error& error)
+        {
+            log_event(log_level::error, "job_unreadable",
+                      {{"key", row.key}, {"version", row.version}, {"reason", error.message()}});
+        },
+        [&] {
+            log_event(log_level::error, "job_unreadable", {{"key", row.key}});
+        });
+}
+
+void session::apply_jobs(const std::vector<adapter::row>& rows)
+{
+    if (!loaded_ || ended_)
+    {
+        return;
+    }
+    for (const adapter::row& row : rows)
+    {
+        if (!row.removed && row.key.starts_with(job_prefix) &&
+            !scheduler_.knows_job(std::string_view(row.key).substr(job_prefix.size())))
+        {
+            apply_job(row, nullptr);
+        }
+    }
+    for (const adapter::row& row : rows)
+    {
+        if (!row.removed && row.key.starts_with(cancel_prefix))
+        {
+            scheduler_.cancel_job(std::string_view(row.key).substr(cancel_prefix.size()),
+                                  shared_.store_time());
+        }
+    }
+    wake_.cancel();
+}
+
+void session::apply_servers(const std::vector<adapter::row>& rows, bool complete)
+{
+    const steady_time now = shared_.now();
+    std::set<std::string> named;
+    for (const adapter::row& row : rows)
+    {
+        named.insert(row.key);
+        if (row.removed)
+        {
+            scheduler_.remove_server(row.key, now);
+            continue;
+        }
+        boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<void>
+            {
+                BOOST_LEAF_AUTO(info, adapter::parse_server(row.key, row.value));
+                scheduler_.update_server(info, now);
+                if (!served_.contains(info.id))
+                {
+                    served_[info.id] =
+                        std::make_shared<boost::asio::steady_timer>(shared_.io.get_executor());
+                    boost::asio::co_spawn(
+                        shared_.io,
+                        [self = shared_from_this(), id = info.id] { return self->serve(id); },
+                        boost::asio::detached);
+                }
+                return {};
+            },
+            [&](const input_error& error)
+            {
+                log_event(
+                    log_level::warning, "server_unreadable",
+                    {{"server", row.key}, {"version", row.version}, {"reason", error.message()}});
+            },
+            [] {});
+    }
+    if (complete)
+    {
+        for (const auto& entry : scheduler_.servers())
+        {
+            if (!named.contains(entry.first))
+            {
+                scheduler_.remove_server(entry.first, now);
+            }
+        }
+    }
+    wake_.cancel();
+}
+
+adapter::transaction session::make_transaction(const scheduler::batch& work, bool renew,
+                                               const std::vector<std::string>& expired) const
+{
+    adapter::transaction result;
+    result.conditions.push_back({std::string(jobs_table), std::string(owner_key), owner_version_});
+    for (const scheduler::progress_write& write : work.writes)
+    {
+        result.writes.push_back({std::string(progress_table), write.job, write.text});
+    }
+    if (renew)
+    {
+        result.writes.push_back({std::string(jobs_table), std::string(owner_key),
+                                 serialize_owner({shared_.config.host, term_, releasing_})});
+    }
+    for (const std::string& id : expired)
+    {
+        result.removals.push_back({std::string(jobs_table), std::string(job_prefix) + id});
+        result.removals.push_back({std::string(progress_table), id});
+    }
+    return result;
+}
+
+bool session::take_commit(const scheduler::batch& work, const adapter::commit_result& result,
+                          bool renewed)
+{
+    using adapter::commit_outcome;
+    const steady_time now = shared_.now();
+    if (result.outcome == commit_outcome::done)
+    {
+        ++counters_.commits;
+        commit_in_doubt_ = false;
+        last_commit_ = now;
+        shared_.note_store_time(result.store_time);
+        if (renewed)
+        {
+            owner_version_ = result.version;
+            last_renewal_ = now;
+        }
+        for (const scheduler::progress_write& write : work.writes)
+        {
+            shared_.jobs.set_state(write.job, write.shown, result.version);
+        }
+        scheduler_.stored(work, now);
+        return true;
+    }
+    scheduler_.not_stored(work);
+    if (result.outcome == commit_outcome::unknown)
+    {
+        commit_in_doubt_ = true;
+        log_event(log_level::warning, "commit_uncertain",
+                  {{"term", term_}, {"rows", work.writes.size()}, {"reason", result.reason}});
+    }
+    if (result.outcome != commit_outcome::conflict)
+    {
+        return false;
+    }
+    for (const adapter::row& row : result.current)
+    {
+        const bool is_ours = boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<bool>
+            {
+                BOOST_LEAF_AUTO(owner, parse_owner(row.value));
+                return owner.host == shared_.config.host && owner.term == term_;
+            },
+            [] { return false; });
+        if (row.key == owner_key && is_ours && row.version != owner_version_)
+        {
+            // An earlier renewal without an answer was performed.
+            owner_version_ = row.version;
+            return false;
+        }
+    }
+    end("another host has taken over");
+    return false;
+}
+
+boost::asio::awaitable<void> session::commit_loop()
+{
+    const std::shared_ptr<session> self = shared_from_this();
+    const ownership_settings timing;
+    while (!ended_)
+    {
+        const steady_time now = shared_.now();
+        scheduler_.advance(now, shared_.clock.wall_now(), shared_.store_time());
+        for (worker::stop_order& order : scheduler_.take_stops(now))
+        {
+            boost::asio::co_spawn(
+                shared_.io,
+                [self, stop = std::move(order)]() mutable
+                { return self->send_stop(std::move(stop)); },
+                boost::asio::detached);
+        }
+        const scheduler::batch work = scheduler_.prepare(now, max_progress_rows);
+        const bool renew = commit_in_doubt_ || releasing_ || now - last_renewal_ >= timing.renewal;
+        if (!work.writes.empty() || renew)
+        {
+            std::vector<std::string> expired;
+            if (work.writes.empty())
+            {
+                expired =
+                    scheduler_.take_expired(shared_.store_time(), shared_.config.result_retention);
+            }
+            const adapter::commit_result result = co_await shared_.store.commit(
+                make_transaction(work, renew, expired), commit_timeout);
+            if (ended_)
+            {
+                co_return;
+            }
+            const bool done = take_commit(work, result, renew);
+            if (done && releasing_)
+            {
+                end("handed over");
+                co_return;
+            }
+            if (done)
+            {
+                dispatch(work);
+            }
+            else if (!ended_)
+            {
+                co_await pause(shared_, milliseconds(50));
+            }
+        }
+        else
+        {
+            scheduler_.stored(work, now);
+            dispatch(work);
+        }
+        const bool idle = work.writes.empty();
+        wake_.expires_after(idle ? longest_round : commit_interval);
+        co_await wake_.async_wait(waiting);
+        if (idle)
+        {
+            // News come in groups; one transaction takes them together.
+            wake_.expires_after(milliseconds(3));
+            co_await wake_.async_wait(waiting);
+        }
+    }
+}
+
+void session::dispatch(const scheduler::batch& work)
+{
+    std::map<std::string, std::vector<worker::start_order>> lanes;
+    std::map<std::string, std::size_t> next_lane;
+    for (const worker::start_order& order : work.starts)
+    {
+        const std::size_t lane = next_lane[order.server]++ % order_lanes;
+        lanes[order.server + "/" + std::to_string(lane)].push_back(order);
+    }
+    for (auto& entry : lanes)
+    {
+        boost::asio::co_spawn(
+            shared_.io,
+            [self = shared_from_this(), orders = std::move(entry.second)]() mutable
+            { return self->send_starts(std::move(orders)); },
+            boost::asio::detached);
+    }
+    for (const std::pair<std::string, std::int64_t>& entry : work.acknowledgements)
+    {
+        wake_server(entry.first);
+    }
+}
+
+void session::wake_server(const std::string& id)
+{
+    const auto found = served_.find(id);
+    if (found != served_.end())
+    {
+        found->second->cancel();
+    }
+}
+
+boost::asio::awaitable<void> session::send_starts(std::vector<worker::start_order> orders)
+{
+    const std::shared_ptr<session> self = shared_from_this();
+    for (const worker::start_order& order : orders)
+    {
+        if (ended_)
+        {
+            co_return;
+        }
+        worker::order_outcome outcome = worker::order_outcome::not_sent;
+        bool in_doubt = false;
+        for (int attempt = 0; attempt < 2; ++attempt)
+        {
+            scheduler::server_state* server = scheduler_.find_server(order.server);
+            if (server == nullptr || server->info.born != order.server_born)
+            {
+                break;
+            }
+            const milliseconds deadline = scheduler_.grant_lease(*server, shared_.now());
+            if (deadline.count() == 0)
+            {
+                break;
+            }
+            ++counters_.starts;
+            const adapter::order_result result =
+                co_await shared_.workers.start(order, deadline, term_, order_timeout);
+            outcome = result.outcome;
+            if (outcome == worker::order_outcome::unknown)
+            {
+                in_doubt = true;
+                continue;
+            }
+            break;
+        }
+        if (ended_)
+        {
+            co_return;
+        }
+        if (outcome == worker::order_outcome::fenced)
+        {
+            end("a server has seen a higher fencing token");
+            co_return;
+        }
+        if (in_doubt && outcome != worker::order_outcome::accepted &&
+            outcome != worker::order_outcome::other_server)
+        {
+            outcome = worker::order_outcome::unknown;
+        }
+        if (outcome == worker::order_outcome::unknown || outcome == worker::order_outcome::not_sent)
+        {
+            scheduler_.call_unanswered(order.server, order.server_born);
+        }
+        scheduler_.start_answered(order, outcome, shared_.now());
+        wake_server(order.server);
+        if (outcome != worker::order_outcome::accepted)
+        {
+            wake_.cancel();
+        }
+    }
+}
+
+boost::asio::awaitable<void> session::send_stop(worker::stop_order order)
+{
+    const std::shared_ptr<session> self = shared_from_this();
+    ++counters_.stops;
+    const adapter::order_result result = co_await shared_.workers.stop(order, term_, order_timeout);
+    if (ended_)
+    {
+        co_return;
+    }
+    if (result.outcome == worker::order_outcome::fenced)
+    {
+        end("a server has seen a higher fencing token");
+        co_return;
+    }
+    scheduler_.stop_answered(order, result.outcome, shared_.now());
+    wake_server(order.server);
+}
+
+boost::asio::awaitable<void> session::serve(std::string id)
+{
+    const std::shared_ptr<session> self = shared_from_this();
+    const std::shared_ptr<boost::asio::steady_timer> timer = served_[id];
+    std::int64_t acknowledged = 0;
+    std::int64_t born = 0;
+    while (!ended_)
+    {
+        scheduler::server_state* server = scheduler_.find_server(id);
+        if (server == nullptr)
+        {
+            break;
+        }
+        if (server->info.born != born)
+        {
+            born = server->info.born;
+            acknowledged = 0;
+        }
+        const bool has_work = !server->tasks.empty() || server->ends_stored > acknowledged ||
+                              !server->fenced || server->unanswered > 0;
+        if (!has_work)
+        {
+            timer->expires_after(server->registered ? milliseconds(2'000) : milliseconds(500));
+            co_await timer->async_wait(waiting);
+            continue;
+        }
+        adapter::hold_call call;
+        call.server = id;
+        call.where = server->info.where;
+        call.fencing_token = term_;
+        call.acknowledged_ends = server->ends_stored;
+        const steady_time asked = shared_.now();
+        call.deadline =
+            server->tasks.empty() ? milliseconds(0) : scheduler_.grant_lease(*server, asked);
+        call.wait = server->tasks.empty() || !server->fenced ? milliseconds(0) : look_wait;
+        ++counters_.looks;
+        const adapter::hold_result result = co_await shared_.workers.hold(call, look_timeout);
+        if (ended_)
+        {
+            break;
+        }
+        using worker::order_outcome;
+        if (result.outcome == order_outcome::accepted)
+        {
+            scheduler_.apply_report(id, *result.lists, asked, shared_.now());
+            acknowledged = call.acknowledged_ends;
+            if (!result.lists->ended.empty())
+            {
+                wake_.cancel();
+            }
+            co_await pause(shared_, look_interval);
+            continue;
+        }
+        if (result.outcome == order_outcome::fenced)
+        {
+            end("a server has seen a higher fencing token");
+            break;
+        }
+        if (result.outcome == order_outcome::other_server)
+        {
+            scheduler_.server_gone(id, born, shared_.now());
+        }
+        else
+        {
+            scheduler_.call_unanswered(id, born);
+        }
+        log_event(log_level::info, "look_failed",
+                  {{"server", id},
+                   {"outcome", worker::outcome_name(result.outcome)},
+                   {"reason", result.reason}});
+        co_await pause(shared_, failed_look_pause);
+    }
+    served_.erase(id);
+}
+
+} // namespace lacewingquay::manager
--- /dev/null
+++ b/src/manager/session.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "manager/context.hpp"
+#include "platform/store.hpp"
+#include "scheduler/scheduler.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lacewingquay::manager
+{
+
+/// Counters of one owner's work, for metrics.
+struct session_counters
+{
+    std::uint64_t starts = 0;
+    std::uint64_t stops = 0;
+    std::uint64_t looks = 0;
+    std::uint64_t commits = 0;
+};
+
+/// The work of the host that owns scheduling, from takeover to loss. Every choice is stored under
+/// the condition that the owner's row is unchanged before an order is sent, so a former owner that
+/// wakes up or is cut off cannot start anything.
+class session : public std::enable_shared_from_this<session>
+{
+public:
+    session(context& shared, std::int64_t term, std::int64_t owner_version);
+
+    /// Reads all state and begins to schedule.
+    void start();
+
+    /// Takes rows of the jobs table.
+    void apply_jobs(const std::vector<adapter::row>& rows);
+
+    /// Takes a new configuration.
+    void configure();
+
+    /// Hands over: stores what is pending, then marks the owner's row as released.
+    void release();
+
+    /// True once another host owns scheduling, or it was handed over.
+    [[nodiscard]] bool ended() const { return ended_; }
+
+    [[nodiscard]] std::int64_t term() const { return term_; }
+    [[nodiscard]] const session_counters& counters() const { return counters_; }
+    [[nodiscard]] scheduler::scheduler& plan() { return scheduler_; }
+    [[nodiscard]] bool is_loaded() const { return loaded_; }
+
+    /// True if the ownership was confirmed by the store within `age`.
+    [[nodiscard]] bool is_confirmed(milliseconds age) const
+    {
+        return !ended_ && shared_.now() - last_commit_ < age;
+    }
+
+private:
+    boost::asio::awaitable<void> load();
+    boost::asio::awaitable<void> commit_loop();
+    boost::asio::awaitable<void> serve(std::string id);
+    boost::asio::awaitable<void> send_starts(std::vector<worker::start_order> orders);
+    boost::asio::awaitable<void> send_stop(worker::stop_order order);
+    void apply_servers(const std::vector<adapter::row>& rows, bool complete);
+    void apply_job(const adapter::row& row, const job::progress* stored);
+    void dispatch(const scheduler::batch& work);
+    adapter::transaction make_transaction(const scheduler::batch& work, bool renew,
+                                          const std::vector<std::string>& expired) const;
+    bool take_commit(const scheduler::batch& work, const adapter::commit_result& result,
+                     bool renewed);
+    void end(std::string_view reason);
+    void wake_server(const std::string& id);
+
+    context& shared_;
+    scheduler::scheduler scheduler_;
+    std::int64_t term_;
+    std::int64_t owner_version_;
+    bool loaded_ = false;
+    bool ended_ = false;
+    bool releasing_ = false;
+    /// A transaction was not answered; the next one changes the owner's row, so that the former can
+    /// no longer be performed.
+    bool commit_in_doubt_ = false;
+    steady_time last_renewal_{};
+    steady_time last_commit_{};
+    boost::asio::steady_timer wake_;
+    std::map<std::string, std::shared_ptr<boost::asio::steady_timer>> served_;
+    std::map<std::string, std::string> cancelled_early_;
+    session_counters counters_;
+};
+
+} // namespace lacewingquay::manager
--- /dev/null
+++ b/src/scheduler/scheduler.hpp
@@ -0,0 +1,187 @@
+#pragma once
+
+#include "core/clock.hpp"
+#include "job/model.hpp"
+#include "job/progress.hpp"
+#include "manager/configuration.hpp"
+#include "scheduler/settings.hpp"
+#include "scheduler/state.hpp"
+#include "worker/model.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace lacewingquay::scheduler
+{
+
+using std::chrono::milliseconds;
+
+/// The progress of one job, to be stored.
+struct progress_write
+{
+    std::string job;
+    std::string text;
+    job::state shown = job::state::queued;
+};
+
+/// Changes that are stored in one transaction before any of them takes effect.
+struct batch
+{
+    std::vector<progress_write> writes;
+    /// Orders to be sent once the batch is stored.
+    std::vector<worker::start_order> starts;
+    /// Servers with the highest end that the stored progress covers.
+    std::vector<std::pair<std::string, std::int64_t>> acknowledgements;
+
+    [[nodiscard]] bool empty() const { return writes.empty() && acknowledgements.empty(); }
+};
+
+/// Load of one pool, for refusals and for the fleet's planner.
+struct pool_load
+{
+    /// Processors booked by runs and wanted by tasks that could start now.
+    job::resources running;
+    job::resources waiting;
+    /// Processors of tasks that last, whether they run or wait.
+    std::int64_t lasting_cpu = 0;
+    job::resources capacity;
+    /// Processor milliseconds that accepted jobs still need, by their estimates.
+    double backlog = 0.0;
+    int waiting_jobs = 0;
+};
+
+/// Decides which task runs where. Holds the state of all jobs and backend servers of its domain;
+/// the caller stores each batch before the orders in it are sent. Deterministic: the same calls
+/// give the same decisions. Not thread-safe.
+class scheduler
+{
+public:
+    explicit scheduler(settings values);
+
+    /// Takes the queues of a configuration. Jobs of a removed queue keep their last settings.
+    void configure(const manager::configuration& values);
+
+    /// Adds a job with its stored progress, or null. `age` is the time since it was accepted.
+    void add_job(job::record record, const job::progress* stored, milliseconds age,
+                 steady_time now);
+
+    /// Ends a job on its caller's request; its runs are stopped.
+    void cancel_job(std::string_view id, milliseconds store_time);
+
+    /// Takes a registration.
+    void update_server(const worker::server& info, steady_time now);
+
+    /// The registration is gone. Its runs count as running until the lease has ended.
+    void remove_server(std::string_view id, steady_time now);
+
+    /// The life of the server that was ordered is over: it was moved, or another one answers.
+    void server_gone(std::string_view id, std::int64_t born, steady_time now);
+
+    /// A call to this life of the server brought no answer.
+    void call_unanswered(std::string_view id, std::int64_t born);
+
+    /// Takes the lists of a server, asked for at `asked`.
+    void apply_report(std::string_view id, const worker::report& lists, steady_time asked,
+                      steady_time now);
+
+    /// Outcome of an order to start.
+    void start_answered(const worker::start_order& order, worker::order_outcome outcome,
+                        steady_time now);
+
+    /// Outcome of an order to stop.
+    void stop_answered(const worker::stop_order& order, worker::order_outcome outcome,
+                       steady_time now);
+
+    /// Gives up runs whose lease has ended, creates occurrences that are due and frees what ended.
+    void advance(steady_time now, wall_time wall, milliseconds store_time);
+
+    /// Chooses servers for waiting tasks and returns what has to be stored, at most `max_rows`
+    /// jobs.
+    batch prepare(steady_time now, std::size_t max_rows);
+
+    /// The batch is stored: its starts are about to be sent, its ends may be forgotten.
+    void stored(const batch& work, steady_time now);
+
+    /// The batch is not known to be stored; it is prepared again.
+    void not_stored(const batch& work);
+
+    /// Orders to stop that are due.
+    std::vector<worker::stop_order> take_stops(steady_time now);
+
+    /// The deadline of a lease that begins now, on the server's clock; zero if none can be given.
+    milliseconds grant_lease(server_state& server, steady_time now);
+
+    /// Load of each pool.
+    [[nodiscard]] std::map<std::string, pool_load> loads(steady_time now) const;
+
+    /// Asks lasting tasks of `server` to stop, as far as their disruption budgets allow.
+    void evacuate(server_state& server, steady_time now);
+
+    /// True if ending every run on `server` now would keep all disruption budgets.
+    [[nodiscard]] bool can_interrupt(const server_state& server) const;
+
+    [[nodiscard]] server_state* find_server(std::string_view id);
+    [[nodiscard]] const std::map<std::string, std::unique_ptr<server_state>, std::less<>>&
+    servers() const
+    {
+        return servers_;
+    }
+
+    /// Jobs whose final state is stored and older than `retention`; they are forgotten here.
+    std::vector<std::string> take_expired(milliseconds store_time, milliseconds retention);
+
+    [[nodiscard]] std::size_t active_jobs() const { return jobs_.size(); }
+    [[nodiscard]] bool knows_job(std::string_view id) const;
+
+    /// Runs that servers reported as not known here; they are stopped.
+    [[nodiscard]] std::size_t unknown_runs() const { return foreign_.size(); }
+
+private:
+    friend class placement;
+
+    void apply_queue(job_state& job);
+    void open_steps(job_state& job, std::size_t occurrence);
+    void add_occurrence(job_state& job, int number, steady_time due);
+    void restore(job_state& job, const job::progress& stored, steady_time now);
+    void finish_task(const task_ref& ref);
+    void finish_job(job_state& job, job::state shown);
+    void detach(const task_ref& ref);
+    void attach(const task_ref& ref, server_state& server);
+    void requeue(const task_ref& ref, steady_time not_before);
+    void apply_end(server_state& server, const worker::ended_task& ended, steady_time now);
+    void end_of_gang(const task_ref& ref, worker::end_kind kind, steady_time now);
+    void lose_runs(server_state& server, std::string_view reason, steady_time now);
+    void mark_dirty(job_state& job);
+    [[nodiscard]] bool find_task(const worker::task_name& name, task_ref& ref);
+    [[nodiscard]] server_state& server_entry(const std::string& id, std::int64_t born);
+    [[nodiscard]] int away(const task_ref& ref) const;
+    [[nodiscard]] job::progress snapshot(const job_state& job) const;
+    void judge_server(server_state& server, bool failed, steady_time now);
+    void plan(steady_time now);
+
+    settings settings_;
+    std::unordered_map<std::string, job::queue> queues_;
+    std::unordered_map<std::string, std::unique_ptr<job_state>> jobs_;
+    std::map<std::string, std::unique_ptr<server_state>, std::less<>> servers_;
+    /// Final states that are stored, by the time they were reached.
+    std::multimap<milliseconds, std::string> finished_;
+    std::unordered_map<std::string, milliseconds> finished_ids_;
+    std::vector<job_state*> dirty_;
+    std::vector<task_ref> assigned_;
+    /// Runs to stop that belong to no current task.
+    std::map<std::pair<std::string, worker::task_name>, std::pair<int, steady_time>> foreign_;
+    milliseconds store_time_{0};
+    bool plan_needed_ = true;
+    steady_time next_plan_{};
+    std::vector<task_ref> stops_;
+};
+
+} // namespace lacewingquay::scheduler
--- /dev/null
+++ b/src/scheduler/settings.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <chrono>
+
+namespace lacewingquay::scheduler
+{
+
+using std::chrono::milliseconds;
+
+/// Settings of the scheduler. Each default names its source.
+struct settings
+{
+    /// Lease of what runs on a backend server. Longer than a takeover (about 3.5 s), so that runs
+    /// survive one, and short, as runs on a lost server are repeated only after it.
+    milliseconds lease{6'000};
+    /// Backend servers' clocks may be this much slow (platform page).
+    double clock_drift = 0.02;
+    /// Network delay and timer slack beyond a lease.
+    milliseconds lease_slack{300};
+    /// After a takeover the former owner may renew leases until its orders are refused as fenced;
+    /// it calls each server at least this often.
+    milliseconds takeover_slack{2'500};
+    /// An order to stop that shows no effect is repeated after this time.
+    milliseconds stop_repeat{500};
+    /// A server that refused or failed to answer an order is not chosen for this time.
+    milliseconds refusal_pause{400};
+    /// Runs that fail in a row on one server before it is avoided.
+    int failures_to_avoid = 3;
+    /// How long a server that fails its runs is avoided.
+    milliseconds failure_pause{5'000};
+    /// A server that has neither answered nor renewed its registration for this long gets no new
+    /// runs; registrations are renewed every 1.5 s (platform page).
+    milliseconds silence_limit{2'600};
+    /// A server that drains gets a run only if this much of its time is left beyond the estimate.
+    milliseconds drain_margin{500};
+    /// A run that exceeds its estimate by this factor and `overdue_margin` is taken for stuck.
+    double overdue_factor = 4.0;
+    milliseconds overdue_margin{1'500};
+    /// Slowdown away from data or over several racks.
+    double cross_rack_factor = 3.0;
+};
+
+} // namespace lacewingquay::scheduler
--- /dev/null
+++ b/src/worker/model.hpp
@@ -0,0 +1,174 @@
+#pragma once
+
+#include "core/address.hpp"
+#include "job/model.hpp"
+#include "job/progress.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace lacewingquay::worker
+{
+
+using std::chrono::milliseconds;
+
+/// One life of a machine of a pool, as it registers itself.
+struct server
+{
+    std::string id;
+    /// The machine under it; empty if the registration does not name it.
+    std::string machine;
+    std::string pool;
+    address where;
+    std::string availability_zone;
+    /// Kind and rack among others.
+    std::vector<std::string> labels;
+    std::string rack;
+    job::resources capacity;
+    bool draining = false;
+    /// While it drains: the least time that is left.
+    milliseconds drain_remaining{0};
+    /// Start of this life, in milliseconds since the Unix epoch.
+    std::int64_t born = 0;
+    /// The server's steady clock when it registered.
+    milliseconds clock{0};
+};
+
+/// A task of a job.
+struct task_name
+{
+    std::string job;
+    job::task_position position;
+
+    friend auto operator<=>(const task_name&, const task_name&) = default;
+};
+
+/// How a run ended.
+enum class end_kind : std::uint8_t
+{
+    done,
+    failed,
+    /// Stopped by an order.
+    stopped,
+    /// The lease expired.
+    lapsed,
+    /// Another member of the gang ended.
+    broken,
+    /// The other members of the gang did not arrive in time.
+    alone
+};
+
+/// A run that a backend server lists as running.
+struct running_task
+{
+    task_name task;
+    int run = 0;
+    std::string checkpoint;
+    /// Share of full speed that the task may use; a task that starts up has less than 100.
+    int percent = 0;
+    /// Tail latency in milliseconds for a task that serves callers, else thousandths of a core.
+    std::int64_t usage = 0;
+};
+
+/// A run that a backend server lists as ended.
+struct ended_task
+{
+    /// Counts the ends of one life of the server, from 1.
+    std::int64_t number = 0;
+    task_name task;
+    int run = 0;
+    end_kind kind = end_kind::done;
+    std::string checkpoint;
+};
+
+/// What a backend server says of its tasks.
+struct report
+{
+    std::int64_t born = 0;
+    /// The server's steady clock.
+    milliseconds clock{0};
+    std::vector<running_task> running;
+    std::vector<ended_task> ended;
+};
+
+/// An order to start one run of a task.
+struct start_order
+{
+    std::string server;
+    std::int64_t server_born = 0;
+    address where;
+    task_name task;
+    int run = 0;
+    std::string payload;
+    std::string checkpoint;
+    std::string ticket;
+};
+
+/// An order to stop one run of a task.
+struct stop_order
+{
+    std::string server;
+    std::int64_t server_born = 0;
+    address where;
+    task_name task;
+    int run = 0;
+};
+
+/// Outcome of an order.
+enum class order_outcome : std::uint8_t
+{
+    accepted,
+    /// The server has seen a higher fencing token: another host schedules now.
+    fenced,
+    /// This run, or a later one, has been stopped or has ended there.
+    stale_run,
+    /// The deadline of the order has passed.
+    too_late,
+    no_room,
+    /// The ticket of the advice service is missing or no longer valid.
+    bad_ticket,
+    /// The address belongs to another life by now.
+    other_server,
+    /// The server is unhealthy and has done nothing.
+    unhealthy,
+    /// The server does not understand the order.
+    malformed,
+    /// Nothing was sent.
+    not_sent,
+    /// No answer: the order may have been carried out or may be carried out later.
+    unknown
+};
+
+[[nodiscard]] constexpr std::string_view outcome_name(order_outcome value)
+{
+    switch (value)
+    {
+    case order_outcome::accepted:
+        return "accepted";
+    case order_outcome::fenced:
+        return "fenced";
+    case order_outcome::stale_run:
+        return "stale_run";
+    case order_outcome::too_late:
+        return "too_late";
+    case order_outcome::no_room:
+        return "no_room";
+    case order_outcome::bad_ticket:
+        return "bad_ticket";
+    case order_outcome::other_server:
+        return "other_server";
+    case order_outcome::unhealthy:
+        return "unhealthy";
+    case order_outcome::malformed:
+        return "malformed";
+    case order_outcome::not_sent:
+        return "not_sent";
+    case order_outcome::unknown:
+        return "unknown";
+    }
+    return "invalid";
+}
+
+} // namespace lacewingquay::worker
