Read the tables of a takeover one after the other without conditional co_await

Cause: g++ 12 destroys the temporaries of a conditional expression that contains co_await twice; the process aborted with 'double free' at each takeover with stored jobs. Ruled out: the scheduler's references (same abort before any of them is used).

--- a/src/manager/session.cpp
+++ b/src/manager/session.cpp
@@ -91,10 +91,16 @@
     while (!ended_)
     {
         servers = co_await read_table(shared_, std::string(servers_table));
-        progress =
-            servers.ok ? co_await read_table(shared_, std::string(progress_table)) : table_read{};
-        jobs = progress.ok ? co_await read_table(shared_, std::string(jobs_table)) : table_read{};
-        if (jobs.ok && jobs.version >= owner_version_ && shared_.current)
+        // g++ 12 destroys the temporaries of a conditional expression with co_await twice.
+        if (servers.ok)
+        {
+            progress = co_await read_table(shared_, std::string(progress_table));
+        }
+        if (servers.ok && progress.ok)
+        {
+            jobs = co_await read_table(shared_, std::string(jobs_table));
+        }
+        if (servers.ok && progress.ok && jobs.ok && jobs.version >= owner_version_ && shared_.current)
         {
             break;
         }
