Move idle machines to the pool whose turn it is, and carry out waves

Cause: pools were fixed and waves not carried out; half of the jobs were late and 22 of 22 machines of the wave were left. src/fleet sizes pools by the work that runs, waits and grows, parks idle machines in the standby pool and paces waves; src/manager/fleet_runner gives the orders under the owner's term.

--- a/src/manager/context.hpp
+++ b/src/manager/context.hpp
@@ -29,6 +29,8 @@
 inline constexpr std::string_view job_prefix = "j/";
 inline constexpr std::string_view cancel_prefix = "c/";
 inline constexpr std::string_view owner_key = "owner";
+inline constexpr std::string_view config_key = "config";
+inline constexpr std::string_view wave_prefix = "wave/";
 
 /// Time for a read or a transaction; the store answers in some milliseconds, and in 0.3 s on its
 /// slow days.
--- a/src/manager/daemon.cpp
+++ b/src/manager/daemon.cpp
@@ -7,6 +7,7 @@
 #include "job/record_text.hpp"
 #include "manager/context.hpp"
 #include "manager/feed.hpp"
+#include "manager/fleet_runner.hpp"
 #include "manager/front.hpp"
 #include "manager/session.hpp"
 #include "platform/decode.hpp"
@@ -93,7 +94,11 @@
     {
         for (const adapter::row& row : rows)
         {
-            if (row.removed || row.key != "config")
+            if (!row.removed && row.key.starts_with(wave_prefix))
+            {
+                apply_wave(row);
+            }
+            if (row.removed || row.key != config_key)
             {
                 continue;
             }
@@ -125,6 +130,27 @@
         }
     }
 
+    void apply_wave(const adapter::row& row)
+    {
+        boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<void>
+            {
+                BOOST_LEAF_AUTO(parsed, adapter::parse_wave(row.value));
+                if (fleet_)
+                {
+                    fleet_->add_wave(parsed);
+                }
+                waves_[parsed.number] = std::move(parsed);
+                return {};
+            },
+            [&](const input_error& error)
+            {
+                log_event(log_level::error, "wave_unreadable",
+                          {{"key", row.key}, {"reason", error.message()}});
+            },
+            [] {});
+    }
+
     boost::asio::awaitable<void> follow_operator()
     {
         feed_settings feed;
@@ -288,6 +314,7 @@
         if (session_ && session_->ended())
         {
             session_.reset();
+            fleet_.reset();
         }
         if (!session_ && !taking_over_ && !shared_.stopping &&
             shared_.owner.should_take_over(shared_.now()))
@@ -320,6 +347,12 @@
             shared_.owner.observe(mine, result.version, shared_.now());
             session_ = std::make_shared<session>(shared_, term, result.version);
             session_->start();
+            fleet_ = std::make_shared<fleet_runner>(shared_, session_);
+            for (const auto& entry : waves_)
+            {
+                fleet_->add_wave(entry.second);
+            }
+            fleet_->start();
             co_return;
         }
         for (const adapter::row& row : result.current)
@@ -378,6 +411,9 @@
     std::shared_ptr<http::server> callers_;
     std::shared_ptr<http::server> readiness_;
     std::shared_ptr<session> session_;
+    std::shared_ptr<fleet_runner> fleet_;
+    /// Waves that the operator asks for, by number.
+    std::map<std::int64_t, fleet::wave> waves_;
     bool taking_over_ = false;
 };
 
--- /dev/null
+++ b/src/manager/fleet_runner.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "fleet/model.hpp"
+#include "fleet/planner.hpp"
+#include "fleet/wave_plan.hpp"
+#include "manager/context.hpp"
+#include "manager/session.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lacewingquay::manager
+{
+
+/// Table of the fleet's own rows.
+inline constexpr std::string_view fleet_table = "fleet";
+
+/// Moves machines between pools and carries out maintenance waves, as part of an owner's session.
+/// Orders carry the owner's term as fencing token, and begin only when a former owner's have ended.
+class fleet_runner : public std::enable_shared_from_this<fleet_runner>
+{
+public:
+    fleet_runner(context& shared, std::shared_ptr<session> owner);
+
+    /// Begins; ends with the owner's session.
+    void start();
+
+    /// Takes a wave that the operator asks for.
+    void add_wave(const fleet::wave& wanted);
+
+private:
+    enum class order_kind
+    {
+        move,
+        maintain
+    };
+
+    /// What is known of one machine beyond the platform's list.
+    struct machine_entry
+    {
+        fleet::machine listed;
+        /// An order is under way or its effect is awaited.
+        bool ordered = false;
+        order_kind kind = order_kind::move;
+        std::string target_pool;
+        std::int64_t wave = 0;
+        steady_time ordered_at{};
+        /// The server that the order ends.
+        std::string former_server;
+        std::int64_t former_born = 0;
+        /// Closed for a wave since this time.
+        std::int64_t closing_for_wave = 0;
+        steady_time closed_at{};
+        bool seen = false;
+    };
+
+    struct wave_entry
+    {
+        fleet::wave wanted;
+        steady_time begun{};
+        std::set<std::string> done;
+        bool completed = false;
+        bool stored_running = false;
+        bool stored_completed = false;
+        bool loaded = false;
+    };
+
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<bool> refresh();
+    boost::asio::awaitable<void> load_waves();
+    boost::asio::awaitable<void> order(order_kind kind, std::string machine, std::string pool,
+                                       std::int64_t wave);
+    boost::asio::awaitable<void> store_wave(std::int64_t number);
+    void note_arrivals();
+    void plan_moves(steady_time now);
+    void plan_waves(steady_time now);
+    void send(order_kind kind, const std::string& machine, const std::string& pool,
+              std::int64_t wave);
+    [[nodiscard]] scheduler::server_state* server_of(const std::string& machine);
+    [[nodiscard]] std::vector<fleet::machine_view> machine_views(steady_time now);
+    [[nodiscard]] std::vector<fleet::pool_view> pool_views();
+
+    context& shared_;
+    std::shared_ptr<session> owner_;
+    fleet::planner planner_;
+    std::map<std::string, machine_entry> machines_;
+    std::map<std::int64_t, wave_entry> waves_;
+    std::map<std::string, std::string> server_by_machine_;
+    steady_time refreshed_{};
+    bool listed_ = false;
+};
+
+} // namespace lacewingquay::manager
--- a/src/manager/session.cpp
+++ b/src/manager/session.cpp
@@ -100,7 +100,8 @@
         {
             jobs = co_await read_table(shared_, std::string(jobs_table));
         }
-        if (servers.ok && progress.ok && jobs.ok && jobs.version >= owner_version_ && shared_.current)
+        if (servers.ok && progress.ok && jobs.ok && jobs.version >= owner_version_ &&
+            shared_.current)
         {
             break;
         }
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -94,6 +94,7 @@
 
     void run()
     {
+        owner_.unplaceable_.clear();
         std::vector<candidate> waiting = collect();
         std::sort(waiting.begin(), waiting.end(),
                   [](const candidate& left, const candidate& right) { return left.before(right); });
@@ -160,6 +161,7 @@
                 server_state* server = choose(ref, {});
                 if (server == nullptr)
                 {
+                    note_unplaceable(ref);
                     break;
                 }
                 assign(ref, *server);
@@ -231,6 +233,18 @@
         return step.latency_target.count() == 0 || server.best_effort == 0;
     }
 
+    /// Counts the task if its pool has the processors and memory for it.
+    void note_unplaceable(const task_ref& ref)
+    {
+        const std::vector<server_state*>& pool = pools_[ref.job->queue.pool];
+        const job::resources& request = ref.definition().request;
+        const bool has_room =
+            std::any_of(pool.begin(), pool.end(),
+                        [&](const server_state* server)
+                        { return request.fits_into(server->info.capacity - server->used); });
+        owner_.unplaceable_[ref.job->queue.pool] += has_room ? 1 : 0;
+    }
+
     /// The best server for a task, or null. Full servers are filled first, so that others stay
     /// free for wide tasks or become idle.
     server_state* choose(const task_ref& ref, std::string_view rack)
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -275,6 +275,10 @@
         *found = server.tasks.back();
         server.tasks.pop_back();
     }
+    if (server.tasks.empty())
+    {
+        server.idle_since = now_;
+    }
     task.server = nullptr;
     task.at_work = false;
     task.stop_wanted = false;
@@ -502,6 +506,7 @@
 
 batch scheduler::prepare(steady_time now, std::size_t max_rows)
 {
+    now_ = now;
     if (plan_needed_ || now >= next_plan_)
     {
         plan_needed_ = false;
@@ -623,6 +628,7 @@
 
 void scheduler::advance(steady_time now, wall_time wall, milliseconds store_time)
 {
+    now_ = now;
     store_time_ = std::max(store_time_, store_time);
     for (auto entry = servers_.begin(); entry != servers_.end();)
     {
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -56,6 +56,9 @@
     /// Processor milliseconds that accepted jobs still need, by their estimates.
     double backlog = 0.0;
     int waiting_jobs = 0;
+    /// Tasks that no machine of the pool may take, whatever its free processors: limits for each
+    /// server, labels, or tasks that must not share a server.
+    int unplaceable = 0;
 };
 
 /// Decides which task runs where. Holds the state of all jobs and backend servers of its domain;
@@ -120,7 +123,7 @@
     milliseconds grant_lease(server_state& server, steady_time now);
 
     /// Load of each pool.
-    [[nodiscard]] std::map<std::string, pool_load> loads(steady_time now) const;
+    [[nodiscard]] std::map<std::string, pool_load> loads() const;
 
     /// Asks lasting tasks of `server` to stop, as far as their disruption budgets allow.
     void evacuate(server_state& server, steady_time now);
@@ -179,6 +182,10 @@
     /// Runs to stop that belong to no current task.
     std::map<std::pair<std::string, worker::task_name>, std::pair<int, steady_time>> foreign_;
     milliseconds store_time_{0};
+    /// Time of the latest call that named it.
+    steady_time now_{};
+    /// By pool, as of the latest plan.
+    std::map<std::string, int> unplaceable_;
     bool plan_needed_ = true;
     steady_time next_plan_{};
     std::vector<task_ref> stops_;
--- a/src/scheduler/scheduler_servers.cpp
+++ b/src/scheduler/scheduler_servers.cpp
@@ -192,6 +192,7 @@
         server.ends_read = 0;
         server.ends_stored = 0;
     }
+    now_ = now;
     server.answered = now;
     server.unanswered = 0;
     server.fenced = true;
@@ -464,7 +465,7 @@
     }
 }
 
-std::map<std::string, pool_load> scheduler::loads(steady_time now) const
+std::map<std::string, pool_load> scheduler::loads() const
 {
     std::map<std::string, pool_load> result;
     for (const auto& entry : servers_)
@@ -513,7 +514,10 @@
         }
         load.waiting_jobs += waits ? 1 : 0;
     }
-    static_cast<void>(now);
+    for (const auto& entry : unplaceable_)
+    {
+        result[entry.first].unplaceable = entry.second;
+    }
     return result;
 }
 
