Keep ownership and machine orders going through rolling restarts

Change: jobs lie in parts of their own; the owner's age comes from the store's clock; restarted hosts take over first; orders to machines are stored under the owner's condition before they are sent, so that a new owner knows which machines to leave alone; tasks on silent servers count as away.

--- a/src/manager/context.hpp
+++ b/src/manager/context.hpp
@@ -33,9 +33,9 @@
 inline constexpr std::string_view wave_prefix = "wave/";
 
 /// Time for a read or a transaction; the store answers in some milliseconds, and in 0.3 s on its
-/// slow days.
+/// slow days, where transactions of one part also wait for each other.
 inline constexpr milliseconds read_timeout{800};
-inline constexpr milliseconds commit_timeout{800};
+inline constexpr milliseconds commit_timeout{1'200};
 
 /// What the parts of one daemon share. All run on one thread.
 struct context
--- a/src/manager/daemon.cpp
+++ b/src/manager/daemon.cpp
@@ -66,7 +66,7 @@
                   {{"zone", shared_.config.availability_zone},
                    {"callers", shared_.config.callers.text()},
                    {"store", shared_.config.store.text()}});
-        spawn([this] { return front_.run(); });
+        front_.start();
         spawn([this] { return follow_operator(); });
         spawn([this] { return follow_jobs(); });
         spawn([this] { return follow_progress(); });
@@ -178,7 +178,8 @@
             [&]() -> boost::leaf::result<void>
             {
                 BOOST_LEAF_AUTO(owner, parse_owner(row.value));
-                shared_.owner.observe(owner, row.version, shared_.now());
+                shared_.owner.observe(owner, row.version, shared_.store_time() - owner.renewed,
+                                      shared_.now());
                 return {};
             },
             [&](const input_error& error)
@@ -249,7 +250,7 @@
             apply_jobs(rows);
             if (complete && !shared_.owner.is_loaded())
             {
-                shared_.owner.observe({}, 0, shared_.now());
+                shared_.owner.observe({}, 0, milliseconds(0), shared_.now());
             }
             shared_.jobs_loaded = true;
         };
@@ -328,7 +329,7 @@
     {
         const std::int64_t term = shared_.owner.row().term + 1;
         const std::int64_t seen = shared_.owner.version();
-        const owner_row mine{shared_.config.host, term, false};
+        const owner_row mine{shared_.config.host, term, false, shared_.store_time()};
         adapter::transaction work;
         work.conditions.push_back({std::string(jobs_table), std::string(owner_key), seen});
         work.writes.push_back(
@@ -344,7 +345,7 @@
         if (result.outcome == adapter::commit_outcome::done)
         {
             shared_.note_store_time(result.store_time);
-            shared_.owner.observe(mine, result.version, shared_.now());
+            shared_.owner.observe(mine, result.version, milliseconds(0), shared_.now());
             session_ = std::make_shared<session>(shared_, term, result.version);
             session_->start();
             fleet_ = std::make_shared<fleet_runner>(shared_, session_);
--- a/src/manager/feed.cpp
+++ b/src/manager/feed.cpp
@@ -46,31 +46,36 @@
 boost::asio::awaitable<table_read> read_table(context& shared, std::string table)
 {
     table_read result;
-    std::string from;
     bool first = true;
-    while (true)
+    for (std::size_t part = 0; part < adapter::store::parts_of(table); ++part)
     {
-        adapter::read_result page = co_await shared.store.read(table, from, read_timeout);
-        note_answer(shared, table, page.ok, page.reason);
-        if (!page.ok)
+        std::string from;
+        bool more = true;
+        while (more)
         {
-            co_return result;
-        }
-        shared.note_store_time(page.store_time);
-        result.version = first ? page.version : result.version;
-        first = false;
-        for (adapter::row& row : page.rows)
-        {
-            result.rows.push_back(std::move(row));
-        }
-        if (!page.has_more || page.rows.empty())
-        {
-            result.ok = true;
-            co_return result;
+            adapter::read_result page = co_await shared.store.read(table, part, from, read_timeout);
+            note_answer(shared, table, page.ok, page.reason);
+            if (!page.ok)
+            {
+                co_return result;
+            }
+            shared.note_store_time(page.store_time);
+            result.version = first ? page.version : result.version;
+            first = false;
+            more = page.has_more && !page.rows.empty();
+            if (more)
+            {
+                // The least key above the last one that was read.
+                from = page.rows.back().key + '\x01';
+            }
+            for (adapter::row& row : page.rows)
+            {
+                result.rows.push_back(std::move(row));
+            }
         }
-        // The least key above the last one that was read.
-        from = result.rows.back().key + '\x01';
     }
+    result.ok = true;
+    co_return result;
 }
 
 boost::asio::awaitable<void> follow_table(context& shared, feed_settings feed)
--- a/src/manager/fleet_runner.cpp
+++ b/src/manager/fleet_runner.cpp
@@ -16,6 +16,7 @@
 namespace
 {
 
+constexpr std::string_view orders_key = "orders";
 constexpr milliseconds round_interval{100};
 /// The list is read this often, and sooner while an order's outcome is unknown.
 constexpr milliseconds list_interval{1'500};
@@ -66,7 +67,6 @@
     {
         co_return;
     }
-    const steady_time begun = shared_.now();
     while (!owner_->ended())
     {
         co_await pause(shared_, round_interval);
@@ -85,15 +85,116 @@
             continue;
         }
         note_arrivals();
-        const bool may_order =
-            owner_->is_confirmed(confirmed_age) && !shared_.stopping &&
-            (owner_->term() == 1 ||
-             shared_.now() - begun >= shared_.config.machine_lease + handover_slack);
-        if (may_order)
+        if (!orders_loaded_ && !co_await load_orders())
+        {
+            continue;
+        }
+        if (owner_->is_confirmed(confirmed_age) && !shared_.stopping)
         {
             plan_waves(shared_.now());
             plan_moves(shared_.now());
+            co_await send_planned();
+        }
+    }
+}
+
+boost::asio::awaitable<bool> fleet_runner::load_orders()
+{
+    const adapter::read_result row =
+        co_await shared_.store.read_row(fleet_table, orders_key, read_timeout);
+    if (!row.ok)
+    {
+        co_return false;
+    }
+    orders_loaded_ = true;
+    if (row.rows.empty())
+    {
+        co_return true;
+    }
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void>
+        {
+            BOOST_LEAF_AUTO(body, parse_json_object(row.rows.front().value, "orders"));
+            for (const boost::json::key_value_pair& entry : body)
+            {
+                boost::system::error_code error;
+                const std::int64_t at = entry.value().to_number<std::int64_t>(error);
+                const milliseconds age = shared_.store_time() - milliseconds(error ? 0 : at);
+                reserved_until_[entry.key()] =
+                    shared_.now() - age + shared_.config.machine_lease + handover_slack;
+            }
+            return {};
+        },
+        [&](const input_error& error) {
+            log_event(log_level::error, "orders_unreadable", {{"reason", error.message()}});
+        },
+        [] {});
+    co_return true;
+}
+
+boost::asio::awaitable<bool> fleet_runner::store_orders()
+{
+    boost::json::object body;
+    for (const auto& entry : machines_)
+    {
+        const milliseconds age =
+            std::chrono::duration_cast<milliseconds>(shared_.now() - entry.second.ordered_at);
+        if (age < shared_.config.machine_lease + handover_slack)
+        {
+            body[entry.first] = (shared_.store_time() - age).count();
+        }
+    }
+    adapter::transaction work;
+    work.conditions.push_back(
+        {std::string(jobs_table), std::string(owner_key), owner_->owner_version()});
+    work.writes.push_back(
+        {std::string(fleet_table), std::string(orders_key), boost::json::serialize(body)});
+    const adapter::commit_result result = co_await shared_.store.commit(work, commit_timeout);
+    co_return result.outcome == adapter::commit_outcome::done;
+}
+
+boost::asio::awaitable<void> fleet_runner::send_planned()
+{
+    if (planned_.empty())
+    {
+        co_return;
+    }
+    // The owner's row may be renewed while this transaction is under way; it is tried again then.
+    constexpr int attempts = 3;
+    bool stored = false;
+    for (int attempt = 0; attempt < attempts && !stored && !owner_->ended(); ++attempt)
+    {
+        stored = co_await store_orders();
+    }
+    for (const std::string& name : std::exchange(planned_, {}))
+    {
+        const auto found = machines_.find(name);
+        if (found == machines_.end())
+        {
+            continue;
         }
+        const machine_entry& machine = found->second;
+        if (!stored)
+        {
+            cancel_order(name);
+            continue;
+        }
+        boost::asio::co_spawn(
+            shared_.io,
+            [self = shared_from_this(), kind = machine.kind, name, pool = machine.target_pool,
+             wave = machine.wave] { return self->order(kind, name, pool, wave); },
+            boost::asio::detached);
+    }
+}
+
+void fleet_runner::cancel_order(const std::string& name)
+{
+    machine_entry& machine = machines_[name];
+    machine.ordered = false;
+    scheduler::server_state* server = server_of(name);
+    if (server != nullptr && machine.closing_for_wave == 0)
+    {
+        server->closed = false;
     }
 }
 
@@ -140,6 +241,12 @@
     return found == server_by_machine_.end() ? nullptr : owner_->plan().find_server(found->second);
 }
 
+bool fleet_runner::is_reserved(const std::string& machine) const
+{
+    const auto found = reserved_until_.find(machine);
+    return found != reserved_until_.end() && shared_.now() < found->second;
+}
+
 void fleet_runner::note_arrivals()
 {
     server_by_machine_.clear();
@@ -184,7 +291,8 @@
         view.cpu = machine.listed.capacity.cpu;
         scheduler::server_state* server = server_of(entry.first);
         view.available = !machine.ordered && machine.closing_for_wave == 0 &&
-                         machine.listed.state == fleet::machine_state::up;
+                         machine.listed.state == fleet::machine_state::up &&
+                         !is_reserved(entry.first);
         if (server != nullptr)
         {
             view.idle = server->tasks.empty() && !server->info.draining && server->registered;
@@ -249,7 +357,7 @@
                    {"to", move.to},
                    {"reason", move.reason},
                    {"term", owner_->term()}});
-        send(order_kind::move, move.machine, move.to, 0);
+        prepare_order(order_kind::move, move.machine, move.to, 0);
     }
 }
 
@@ -284,9 +392,9 @@
             {
                 machine_entry& machine = found->second;
                 scheduler::server_state* server = server_of(name);
-                view.available = !machine.ordered &&
-                                 machine.listed.state == fleet::machine_state::up &&
-                                 (server == nullptr || !server->info.draining);
+                view.available =
+                    !machine.ordered && machine.listed.state == fleet::machine_state::up &&
+                    !is_reserved(name) && (server == nullptr || !server->info.draining);
                 view.closing = machine.closing_for_wave == wave.wanted.number;
                 view.closing_for =
                     std::chrono::duration_cast<milliseconds>(now - machine.closed_at);
@@ -338,13 +446,13 @@
                        {"away", away},
                        {"left_ms", left.count()},
                        {"term", owner_->term()}});
-            send(order_kind::maintain, name, "", wave.wanted.number);
+            prepare_order(order_kind::maintain, name, "", wave.wanted.number);
         }
     }
 }
 
-void fleet_runner::send(order_kind kind, const std::string& name, const std::string& pool,
-                        std::int64_t wave)
+void fleet_runner::prepare_order(order_kind kind, const std::string& name, const std::string& pool,
+                                 std::int64_t wave)
 {
     machine_entry& machine = machines_[name];
     machine.ordered = true;
@@ -361,11 +469,7 @@
         machine.former_server = server->info.id;
         machine.former_born = server->info.born;
     }
-    boost::asio::co_spawn(
-        shared_.io,
-        [self = shared_from_this(), kind, name, pool, wave]
-        { return self->order(kind, name, pool, wave); },
-        boost::asio::detached);
+    planned_.push_back(name);
 }
 
 boost::asio::awaitable<void> fleet_runner::order(order_kind kind, std::string machine,
@@ -416,7 +520,6 @@
         // The list tells later whether it was carried out; until then it counts as under way.
         co_return;
     }
-    entry.ordered = false;
     if (outcome == adapter::machine_outcome::malformed && kind == order_kind::move)
     {
         planner_.forbid(machine, pool);
@@ -427,11 +530,7 @@
         waves_[wave].done.insert(machine);
         entry.closing_for_wave = 0;
     }
-    scheduler::server_state* server = server_of(machine);
-    if (server != nullptr && entry.closing_for_wave == 0)
-    {
-        server->closed = false;
-    }
+    cancel_order(machine);
 }
 
 boost::asio::awaitable<void> fleet_runner::load_waves()
--- a/src/manager/fleet_runner.hpp
+++ b/src/manager/fleet_runner.hpp
@@ -73,14 +73,21 @@
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<bool> refresh();
     boost::asio::awaitable<void> load_waves();
+    /// Reads the former owner's latest orders.
+    boost::asio::awaitable<bool> load_orders();
+    /// Stores which machines are ordered, under the condition that this host still is the owner.
+    boost::asio::awaitable<bool> store_orders();
+    boost::asio::awaitable<void> send_planned();
     boost::asio::awaitable<void> order(order_kind kind, std::string machine, std::string pool,
                                        std::int64_t wave);
     boost::asio::awaitable<void> store_wave(std::int64_t number);
     void note_arrivals();
+    void cancel_order(const std::string& machine);
+    [[nodiscard]] bool is_reserved(const std::string& machine) const;
     void plan_moves(steady_time now);
     void plan_waves(steady_time now);
-    void send(order_kind kind, const std::string& machine, const std::string& pool,
-              std::int64_t wave);
+    void prepare_order(order_kind kind, const std::string& machine, const std::string& pool,
+                       std::int64_t wave);
     [[nodiscard]] scheduler::server_state* server_of(const std::string& machine);
     [[nodiscard]] std::vector<fleet::machine_view> machine_views(steady_time now);
     [[nodiscard]] std::vector<fleet::pool_view> pool_views();
@@ -91,8 +98,13 @@
     std::map<std::string, machine_entry> machines_;
     std::map<std::int64_t, wave_entry> waves_;
     std::map<std::string, std::string> server_by_machine_;
+    /// Machines that a former owner ordered, with the time from which this one may.
+    std::map<std::string, steady_time> reserved_until_;
+    /// Orders of this round, sent once they are stored.
+    std::vector<std::string> planned_;
     steady_time refreshed_{};
     bool listed_ = false;
+    bool orders_loaded_ = false;
 };
 
 } // namespace lacewingquay::manager
--- a/src/manager/front.cpp
+++ b/src/manager/front.cpp
@@ -6,6 +6,8 @@
 #include "platform/decode.hpp"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -78,9 +80,22 @@
 
 } // namespace
 
-front::front(context& shared)
-    : shared_(shared), wake_(shared.io.get_executor(), std::chrono::steady_clock::time_point::max())
+front::front(context& shared) : shared_(shared)
 {
+    for (std::size_t group = 0; group < adapter::store::parts_of(jobs_table); ++group)
+    {
+        lanes_.push_back(
+            {{}, std::make_unique<boost::asio::steady_timer>(shared.io.get_executor())});
+    }
+}
+
+void front::start()
+{
+    for (std::size_t group = 0; group < lanes_.size(); ++group)
+    {
+        boost::asio::co_spawn(
+            shared_.io, [this, group] { return run(group); }, boost::asio::detached);
+    }
 }
 
 boost::asio::awaitable<http::response> front::answer(http::request received)
@@ -270,8 +285,9 @@
     std::shared_ptr<submission> entry =
         std::make_shared<submission>(shared_, std::move(key), std::move(value), is_new);
     entry->give_up = give_up;
-    queue_.push_back(entry);
-    wake_.cancel();
+    lane& to = lanes_[adapter::store::group_of(entry->key)];
+    to.queue.push_back(entry);
+    to.wake->cancel();
     while (!entry->done)
     {
         co_await entry->settled.async_wait(waiting);
@@ -286,7 +302,7 @@
     entry.settled.cancel();
 }
 
-void front::take_result(std::vector<std::shared_ptr<submission>>& group,
+void front::take_result(lane& from, std::vector<std::shared_ptr<submission>>& group,
                         const adapter::commit_result& result)
 {
     using adapter::commit_outcome;
@@ -313,29 +329,30 @@
         }
         else
         {
-            queue_.push_back(std::move(entry));
+            from.queue.push_back(std::move(entry));
         }
     }
 }
 
-boost::asio::awaitable<void> front::run()
+boost::asio::awaitable<void> front::run(std::size_t index_of_lane)
 {
     constexpr milliseconds retry_pause{100};
+    lane& from = lanes_[index_of_lane];
     while (true)
     {
-        if (queue_.empty())
+        if (from.queue.empty())
         {
-            wake_.expires_at(std::chrono::steady_clock::time_point::max());
-            co_await wake_.async_wait(waiting);
+            from.wake->expires_at(std::chrono::steady_clock::time_point::max());
+            co_await from.wake->async_wait(waiting);
             continue;
         }
         std::vector<std::shared_ptr<submission>> group;
         adapter::transaction work;
-        const std::size_t count = std::min(queue_.size(), max_group);
+        const std::size_t count = std::min(from.queue.size(), max_group);
         milliseconds patience = commit_timeout;
         for (std::size_t index = 0; index < count; ++index)
         {
-            const std::shared_ptr<submission>& entry = queue_[index];
+            const std::shared_ptr<submission>& entry = from.queue[index];
             if (std::any_of(group.begin(), group.end(),
                             [&](const std::shared_ptr<submission>& other)
                             { return other->key == entry->key; }))
@@ -353,11 +370,11 @@
                                 std::max(milliseconds(50), std::chrono::duration_cast<milliseconds>(
                                                                entry->give_up - shared_.now())));
         }
-        std::erase_if(queue_, [&](const std::shared_ptr<submission>& entry)
+        std::erase_if(from.queue, [&](const std::shared_ptr<submission>& entry)
                       { return std::find(group.begin(), group.end(), entry) != group.end(); });
         const adapter::commit_result result = co_await shared_.store.commit(work, patience);
         shared_.note_store_time(result.store_time);
-        take_result(group, result);
+        take_result(from, group, result);
         if (result.outcome == adapter::commit_outcome::unknown ||
             result.outcome == adapter::commit_outcome::refused)
         {
--- a/src/manager/front.hpp
+++ b/src/manager/front.hpp
@@ -35,8 +35,8 @@
     /// Answers one request.
     boost::asio::awaitable<http::response> answer(http::request received);
 
-    /// Stores submitted jobs until the daemon ends.
-    boost::asio::awaitable<void> run();
+    /// Begins to store submitted jobs.
+    void start();
 
     [[nodiscard]] const front_counters& counters() const { return counters_; }
 
@@ -63,6 +63,13 @@
         steady_time give_up{};
     };
 
+    /// Rows that can share a transaction.
+    struct lane
+    {
+        std::vector<std::shared_ptr<submission>> queue;
+        std::unique_ptr<boost::asio::steady_timer> wake;
+    };
+
     boost::asio::awaitable<adapter::commit_outcome> store_row(std::string key, std::string value,
                                                               bool is_new, steady_time give_up);
     boost::asio::awaitable<http::response> submit(const job::queue& queue, std::string id,
@@ -70,12 +77,13 @@
     boost::asio::awaitable<http::response> show(std::string id);
     boost::asio::awaitable<http::response> cancel(std::string id, steady_time give_up);
     void settle(submission& entry, adapter::commit_outcome outcome);
-    void take_result(std::vector<std::shared_ptr<submission>>& group,
+    /// Stores the rows of one group, one transaction after the other.
+    boost::asio::awaitable<void> run(std::size_t group);
+    void take_result(lane& from, std::vector<std::shared_ptr<submission>>& group,
                      const adapter::commit_result& result);
 
     context& shared_;
-    std::vector<std::shared_ptr<submission>> queue_;
-    boost::asio::steady_timer wake_;
+    std::vector<lane> lanes_;
     front_counters counters_;
 };
 
--- a/src/manager/ownership.hpp
+++ b/src/manager/ownership.hpp
@@ -19,6 +19,8 @@
     std::int64_t term = 0;
     /// The owner has handed over.
     bool released = false;
+    /// When the row was written, on the store's steady clock.
+    milliseconds renewed{0};
 };
 
 [[nodiscard]] std::string serialize_owner(const owner_row& value);
@@ -32,7 +34,10 @@
     /// An owner that has not renewed for this long is taken for lost: three renewals.
     milliseconds silence{2'100};
     /// Spreads the hosts' attempts to take over.
-    milliseconds spread{400};
+    milliseconds spread{300};
+    /// Hosts that have not been restarted since the fleet began wait longer: a rolling restart
+    /// comes to them next, and ownership would move again.
+    milliseconds not_restarted_delay{400};
 };
 
 /// Decides when this host may try to become the owner. The attempt itself is a transaction whose
@@ -42,8 +47,9 @@
 public:
     ownership(ownership_settings values, std::string host);
 
-    /// The row was read with this version; 0 if it does not exist.
-    void observe(const owner_row& row, std::int64_t version, steady_time now);
+    /// The row was read with this version; 0 if it does not exist. `age` is the time since it was
+    /// written, by the store's clock.
+    void observe(const owner_row& row, std::int64_t version, milliseconds age, steady_time now);
 
     /// The store failed to answer. An owner could not renew meanwhile either, so its silence is
     /// measured anew.
@@ -62,6 +68,8 @@
     owner_row row_;
     std::int64_t version_ = 0;
     bool loaded_ = false;
+    /// There was an owner already when this host read the row first.
+    bool restarted_ = false;
     steady_time last_change_{};
 };
 
--- a/src/manager/session.cpp
+++ b/src/manager/session.cpp
@@ -283,12 +283,12 @@
     }
     if (renew)
     {
-        result.writes.push_back({std::string(jobs_table), std::string(owner_key),
-                                 serialize_owner({shared_.config.host, term_, releasing_})});
+        result.writes.push_back(
+            {std::string(jobs_table), std::string(owner_key),
+             serialize_owner({shared_.config.host, term_, releasing_, shared_.store_time()})});
     }
     for (const std::string& id : expired)
     {
-        result.removals.push_back({std::string(jobs_table), std::string(job_prefix) + id});
         result.removals.push_back({std::string(progress_table), id});
     }
     return result;
@@ -368,12 +368,7 @@
         const bool renew = commit_in_doubt_ || releasing_ || now - last_renewal_ >= timing.renewal;
         if (!work.writes.empty() || renew)
         {
-            std::vector<std::string> expired;
-            if (work.writes.empty())
-            {
-                expired =
-                    scheduler_.take_expired(shared_.store_time(), shared_.config.result_retention);
-            }
+            const std::vector<std::string> expired = std::exchange(removed_jobs_, {});
             const adapter::commit_result result = co_await shared_.store.commit(
                 make_transaction(work, renew, expired), commit_timeout);
             if (ended_)
@@ -389,6 +384,11 @@
             if (done)
             {
                 dispatch(work);
+                for (const std::string& id :
+                     scheduler_.take_expired(shared_.store_time(), shared_.config.result_retention))
+                {
+                    co_await remove_job(id);
+                }
             }
             else if (!ended_)
             {
@@ -412,6 +412,23 @@
     }
 }
 
+boost::asio::awaitable<void> session::remove_job(std::string id)
+{
+    adapter::transaction work;
+    work.removals.push_back({std::string(jobs_table), std::string(job_prefix) + id});
+    work.removals.push_back({std::string(jobs_table), std::string(cancel_prefix) + id});
+    const adapter::commit_result result = co_await shared_.store.commit(work, commit_timeout);
+    if (result.outcome == adapter::commit_outcome::done)
+    {
+        // The progress goes after the job: a job without progress would be run again.
+        removed_jobs_.push_back(std::move(id));
+    }
+    else
+    {
+        log_event(log_level::warning, "job_not_removed", {{"job", id}, {"reason", result.reason}});
+    }
+}
+
 void session::dispatch(const scheduler::batch& work)
 {
     std::map<std::string, std::vector<worker::start_order>> lanes;
--- a/src/manager/session.hpp
+++ b/src/manager/session.hpp
@@ -56,6 +56,9 @@
     [[nodiscard]] scheduler::scheduler& plan() { return scheduler_; }
     [[nodiscard]] bool is_loaded() const { return loaded_; }
 
+    /// Version of the owner's row, for transactions that only the owner may make.
+    [[nodiscard]] std::int64_t owner_version() const { return owner_version_; }
+
     /// True if the ownership was confirmed by the store within `age`.
     [[nodiscard]] bool is_confirmed(milliseconds age) const
     {
@@ -67,6 +70,7 @@
     boost::asio::awaitable<void> commit_loop();
     boost::asio::awaitable<void> serve(std::string id);
     boost::asio::awaitable<void> send_starts(std::vector<worker::start_order> orders);
+    boost::asio::awaitable<void> remove_job(std::string id);
     boost::asio::awaitable<void> send_stop(worker::stop_order order);
     void apply_servers(const std::vector<adapter::row>& rows, bool complete);
     void apply_job(const adapter::row& row, const job::progress* stored);
@@ -92,7 +96,8 @@
     steady_time last_commit_{};
     boost::asio::steady_timer wake_;
     std::map<std::string, std::shared_ptr<boost::asio::steady_timer>> served_;
-    std::map<std::string, std::string> cancelled_early_;
+    /// Jobs whose rows are removed; their progress is removed with the next transaction.
+    std::vector<std::string> removed_jobs_;
     session_counters counters_;
 };
 
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -165,6 +165,7 @@
     void mark_dirty(job_state& job);
     [[nodiscard]] bool find_task(const worker::task_name& name, task_ref& ref);
     [[nodiscard]] server_state& server_entry(const std::string& id, std::int64_t born);
+    [[nodiscard]] bool is_answering(const server_state& server) const;
     [[nodiscard]] int away(const task_ref& ref) const;
     [[nodiscard]] job::progress snapshot(const job_state& job) const;
     void judge_server(server_state& server, bool failed, steady_time now);
--- a/src/scheduler/scheduler_servers.cpp
+++ b/src/scheduler/scheduler_servers.cpp
@@ -412,12 +412,20 @@
     return orders;
 }
 
+bool scheduler::is_answering(const server_state& server) const
+{
+    return server.registered && server.unanswered == 0 &&
+           now_ - server.answered <= settings_.silence_limit;
+}
+
 int scheduler::away(const task_ref& ref) const
 {
     int count = 0;
     for (const task_state& task : ref.steps().tasks)
     {
-        const bool working = task.phase == task_phase::running && task.at_work && !task.stop_wanted;
+        // A server that does not answer may have crashed, with all that ran there.
+        const bool working = task.phase == task_phase::running && task.at_work &&
+                             !task.stop_wanted && is_answering(*task.server);
         count += working ? 0 : 1;
     }
     return count;
