--- a/src/manager/session.cpp
+++ b/src/manager/session.cpp
@@ -31,6 +31,9 @@
 constexpr milliseconds order_timeout{400};
 /// The answer to a look waits this long for an end.
 constexpr milliseconds look_wait{1'000};
+/// A lasting task that has just been started is looked at sooner: until it is at work, no other of
+/// its step may be stopped.
+constexpr milliseconds startup_wait{250};
 constexpr milliseconds look_timeout{700};
 /// Ends that come together are read with one look.
 constexpr milliseconds look_interval{50};
@@ -574,7 +577,9 @@
         const steady_time asked = shared_.now();
         call.deadline =
             server->tasks.empty() ? milliseconds(0) : scheduler_.grant_lease(*server, asked);
-        call.wait = server->tasks.empty() || !server->fenced ? milliseconds(0) : look_wait;
+        call.wait = server->tasks.empty() || !server->fenced              ? milliseconds(0)
+                    : scheduler::scheduler::has_task_starting_up(*server) ? startup_wait
+                                                                          : look_wait;
         ++counters_.looks;
         const adapter::hold_result result = co_await shared_.workers.hold(call, look_timeout);
         if (ended_)
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -131,6 +131,9 @@
     /// True if ending every run on `server` now would keep all disruption budgets.
     [[nodiscard]] bool can_interrupt(const server_state& server) const;
 
+    /// True if a lasting task on `server` has not reached full speed yet.
+    [[nodiscard]] static bool has_task_starting_up(const server_state& server);
+
     [[nodiscard]] server_state* find_server(std::string_view id);
     [[nodiscard]] const std::map<std::string, std::unique_ptr<server_state>, std::less<>>&
     servers() const
@@ -166,6 +169,7 @@
     [[nodiscard]] bool find_task(const worker::task_name& name, task_ref& ref);
     [[nodiscard]] server_state& server_entry(const std::string& id, std::int64_t born);
     [[nodiscard]] bool is_answering(const server_state& server) const;
+    [[nodiscard]] bool is_working(const task_state& task) const;
     [[nodiscard]] int away(const task_ref& ref) const;
     [[nodiscard]] job::progress snapshot(const job_state& job) const;
     void judge_server(server_state& server, bool failed, steady_time now);
