Give machines first to tasks that none of their pool may take; one life a machine

Change: pools with an unplaceable task come first, and a machine is drained for them if none is idle; free machines go to the pool that lacks the largest share; a new life of a machine ends the former one.

--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -5,19 +5,34 @@
 namespace lacewingquay::fleet
 {
 
-namespace
-{
-
 /// A pool with the capacity it should have.
-struct pool_plan
+struct planner::pool_plan
 {
     const pool_view* view = nullptr;
     std::int64_t wanted = 0;
     /// Serving and on its way, as the orders of this round change it.
     std::int64_t capacity = 0;
-};
+    /// Waits for a machine of its own, whatever its capacity.
+    bool needs_other_machine = false;
+    /// No machine was found in this round.
+    bool exhausted = false;
 
-} // namespace
+    [[nodiscard]] double shortage() const
+    {
+        return static_cast<double>(wanted - capacity) /
+               static_cast<double>(std::max<std::int64_t>(1, wanted));
+    }
+
+    /// Pools with a task that cannot be placed at all go first, then those that lack most.
+    [[nodiscard]] bool before(const pool_plan& other) const
+    {
+        if (needs_other_machine != other.needs_other_machine)
+        {
+            return needs_other_machine;
+        }
+        return shortage() > other.shortage();
+    }
+};
 
 planner::planner(planner_settings values) : settings_(values) {}
 
@@ -47,36 +62,90 @@
         slope * std::chrono::duration<double>(settings_.growth_horizon).count());
 }
 
-std::vector<move_order> planner::decide(std::span<const machine_view> machines,
-                                        std::span<const pool_view> pools, steady_time now)
+std::vector<planner::pool_plan> planner::plan_pools(std::span<const machine_view> machines,
+                                                    std::span<const pool_view> pools,
+                                                    steady_time now)
 {
-    std::vector<pool_plan> plans;
-    std::string parking;
     std::int64_t machine_cpu = 1;
     for (const machine_view& machine : machines)
     {
         machine_cpu = std::max(machine_cpu, machine.cpu);
     }
+    std::vector<pool_plan> plans;
     for (const pool_view& pool : pools)
     {
         if (pool.standby)
         {
-            parking = parking.empty() ? pool.name : parking;
             continue;
         }
         const std::int64_t demand = pool.running_cpu + pool.waiting_cpu + growth(pool, now);
-        std::int64_t wanted =
-            static_cast<std::int64_t>(static_cast<double>(demand) * settings_.headroom) +
-            settings_.spare_machines * machine_cpu;
-        if (pool.needs_other_machine && pool.incoming_cpu == 0)
+        pool_plan plan;
+        plan.view = &pool;
+        plan.wanted = static_cast<std::int64_t>(static_cast<double>(demand) * settings_.headroom) +
+                      settings_.spare_machines * machine_cpu;
+        plan.capacity = pool.capacity_cpu + pool.incoming_cpu;
+        plan.needs_other_machine = pool.needs_other_machine && pool.incoming_cpu == 0;
+        plans.push_back(plan);
+    }
+    return plans;
+}
+
+bool planner::may_lend(const machine_view& machine, const pool_plan& to,
+                       std::vector<pool_plan>& plans)
+{
+    if (machine.pool == to.view->name || forbidden_.contains({machine.name, to.view->name}))
+    {
+        return false;
+    }
+    if (!machine.drained_for.empty())
+    {
+        return machine.drained_for == to.view->name;
+    }
+    const auto donor =
+        std::find_if(plans.begin(), plans.end(),
+                     [&](const pool_plan& plan) { return plan.view->name == machine.pool; });
+    if (donor == plans.end())
+    {
+        return true;
+    }
+    return machine.idle_for >= settings_.lend_after &&
+           (to.needs_other_machine || donor->capacity - machine.cpu >= donor->wanted);
+}
+
+const machine_view* planner::choose_drained(std::span<const machine_view> machines,
+                                            const pool_plan& to,
+                                            std::span<const pool_plan> plans) const
+{
+    const machine_view* best = nullptr;
+    for (const machine_view& machine : machines)
+    {
+        if (machine.drained_for == to.view->name)
+        {
+            return nullptr;
+        }
+        const bool serves =
+            std::any_of(plans.begin(), plans.end(),
+                        [&](const pool_plan& plan) { return plan.view->name == machine.pool; });
+        if (machine.available && !machine.idle && serves && machine.lasting == 0 &&
+            machine.tasks > 0 && machine.pool != to.view->name && machine.drained_for.empty() &&
+            !forbidden_.contains({machine.name, to.view->name}) &&
+            (best == nullptr || machine.tasks < best->tasks))
         {
-            wanted = std::max(wanted, pool.capacity_cpu + machine_cpu);
+            best = &machine;
         }
-        plans.push_back({&pool, wanted, pool.capacity_cpu + pool.incoming_cpu});
     }
-    std::sort(plans.begin(), plans.end(),
-              [](const pool_plan& left, const pool_plan& right)
-              { return left.wanted - left.capacity > right.wanted - right.capacity; });
+    return best;
+}
+
+std::vector<move_order> planner::decide(std::span<const machine_view> machines,
+                                        std::span<const pool_view> pools, steady_time now)
+{
+    std::vector<pool_plan> plans = plan_pools(machines, pools, now);
+    std::string parking;
+    for (const pool_view& pool : pools)
+    {
+        parking = pool.standby && parking.empty() ? pool.name : parking;
+    }
     const auto is_standby = [&](const std::string& name)
     {
         return std::any_of(pools.begin(), pools.end(),
@@ -110,37 +179,49 @@
                                                            : left->name < right->name;
               });
     std::vector<move_order> orders;
-    for (pool_plan& plan : plans)
+    while (true)
     {
-        for (const machine_view*& machine : free)
+        pool_plan* next = nullptr;
+        for (pool_plan& plan : plans)
         {
-            if (plan.capacity >= plan.wanted)
+            const bool lacks = plan.needs_other_machine || plan.capacity < plan.wanted;
+            if (lacks && !plan.exhausted && (next == nullptr || plan.before(*next)))
             {
-                break;
+                next = &plan;
             }
-            if (machine == nullptr || machine->pool == plan.view->name ||
-                forbidden_.contains({machine->name, plan.view->name}))
-            {
-                continue;
-            }
-            const auto donor = plan_of(machine->pool);
+        }
+        if (next == nullptr)
+        {
+            break;
+        }
+        const auto found = std::find_if(free.begin(), free.end(),
+                                        [&](const machine_view* machine)
+                                        { return may_lend(*machine, *next, plans); });
+        if (found != free.end())
+        {
+            const machine_view& machine = **found;
+            const auto donor = plan_of(machine.pool);
             if (donor != plans.end())
             {
-                if (machine->idle_for < settings_.lend_after ||
-                    donor->capacity - machine->cpu < donor->wanted)
-                {
-                    continue;
-                }
-                donor->capacity -= machine->cpu;
+                donor->capacity -= machine.cpu;
             }
-            plan.capacity += machine->cpu;
-            orders.push_back({machine->name, machine->pool, plan.view->name, "demand"});
-            machine = nullptr;
+            next->capacity += machine.cpu;
+            next->needs_other_machine = false;
+            orders.push_back({false, machine.name, machine.pool, next->view->name, "demand"});
+            free.erase(found);
+            continue;
+        }
+        const machine_view* drained =
+            next->needs_other_machine ? choose_drained(machines, *next, plans) : nullptr;
+        if (drained != nullptr)
+        {
+            orders.push_back({true, drained->name, drained->pool, next->view->name, "drain"});
         }
+        next->exhausted = true;
     }
     for (const machine_view* machine : free)
     {
-        if (machine == nullptr || parking.empty() || is_standby(machine->pool) ||
+        if (parking.empty() || is_standby(machine->pool) || !machine->drained_for.empty() ||
             machine->idle_for < settings_.park_after ||
             forbidden_.contains({machine->name, parking}))
         {
@@ -152,7 +233,7 @@
             continue;
         }
         owner->capacity -= machine->cpu;
-        orders.push_back({machine->name, machine->pool, parking, "idle"});
+        orders.push_back({false, machine->name, machine->pool, parking, "idle"});
     }
     return orders;
 }
--- a/src/fleet/planner.hpp
+++ b/src/fleet/planner.hpp
@@ -46,6 +46,11 @@
     /// Nothing runs there and it takes orders; with the time since then.
     bool idle = false;
     milliseconds idle_for{0};
+    /// Runs on it, and lasting ones among them.
+    int tasks = 0;
+    int lasting = 0;
+    /// Pool for which it has been drained; empty for none.
+    std::string drained_for;
 };
 
 /// Work and machines of a pool.
@@ -65,6 +70,8 @@
 
 struct move_order
 {
+    /// The machine gets no new runs and moves once it is idle.
+    bool drain_first = false;
     std::string machine;
     std::string from;
     std::string to;
@@ -92,6 +99,16 @@
         std::int64_t demand = 0;
     };
 
+    struct pool_plan;
+
+    [[nodiscard]] std::vector<pool_plan> plan_pools(std::span<const machine_view> machines,
+                                                    std::span<const pool_view> pools,
+                                                    steady_time now);
+    [[nodiscard]] bool may_lend(const machine_view& machine, const pool_plan& to,
+                                std::vector<pool_plan>& plans);
+    [[nodiscard]] const machine_view* choose_drained(std::span<const machine_view> machines,
+                                                     const pool_plan& to,
+                                                     std::span<const pool_plan> plans) const;
     [[nodiscard]] std::int64_t growth(const pool_view& pool, steady_time now);
 
     planner_settings settings_;
--- a/src/manager/fleet_runner.cpp
+++ b/src/manager/fleet_runner.cpp
@@ -29,6 +29,10 @@
 constexpr milliseconds handover_slack{400};
 /// An order whose machine does not come back is looked up in the list after this time.
 constexpr milliseconds arrival_limit{6'000};
+/// A list that was asked for this long after a confirmed order shows its effect.
+constexpr milliseconds list_lag{600};
+/// A machine that is drained for another pool and does not become idle is opened again.
+constexpr milliseconds drain_limit{6'000};
 
 } // namespace
 
@@ -191,6 +195,7 @@
 {
     machine_entry& machine = machines_[name];
     machine.ordered = false;
+    machine.drained_for.clear();
     scheduler::server_state* server = server_of(name);
     if (server != nullptr && machine.closing_for_wave == 0)
     {
@@ -219,13 +224,11 @@
         machine_entry& entry = machines_[machine.name];
         entry.seen = true;
         entry.listed = std::move(machine);
-        if (entry.ordered && asked - entry.ordered_at >= arrival_limit &&
-            entry.listed.state == fleet::machine_state::up)
+        if (is_over(entry, asked))
         {
-            // The order had no effect, or its effect is over.
             entry.ordered = false;
             scheduler::server_state* server = server_of(entry.listed.name);
-            if (server != nullptr)
+            if (server != nullptr && entry.closing_for_wave == 0)
             {
                 server->closed = false;
             }
@@ -235,6 +238,28 @@
     co_return true;
 }
 
+bool fleet_runner::is_standby(const std::string& name) const
+{
+    return shared_.current &&
+           std::any_of(shared_.current->pools.begin(), shared_.current->pools.end(),
+                       [&](const pool& candidate)
+                       { return candidate.standby && candidate.name == name; });
+}
+
+bool fleet_runner::is_over(const machine_entry& machine, steady_time asked) const
+{
+    if (!machine.ordered || machine.listed.state != fleet::machine_state::up)
+    {
+        return false;
+    }
+    // A machine that is off registers no server; the list alone tells that it has arrived.
+    const bool arrived_off =
+        machine.confirmed && is_standby(machine.listed.pool) &&
+        (machine.kind == order_kind::maintain || machine.listed.pool == machine.target_pool) &&
+        asked - machine.ordered_at >= list_lag;
+    return arrived_off || asked - machine.ordered_at >= arrival_limit;
+}
+
 scheduler::server_state* fleet_runner::server_of(const std::string& machine)
 {
     const auto found = server_by_machine_.find(machine);
@@ -297,15 +322,14 @@
         {
             view.idle = server->tasks.empty() && !server->info.draining && server->registered;
             view.idle_for = std::chrono::duration_cast<milliseconds>(now - server->idle_since);
+            view.tasks = static_cast<int>(server->tasks.size());
+            view.lasting = server->lasting;
         }
         else
         {
-            const bool off =
-                std::any_of(shared_.current->pools.begin(), shared_.current->pools.end(),
-                            [&](const pool& candidate)
-                            { return candidate.standby && candidate.name == view.pool; });
-            view.idle = off;
+            view.idle = is_standby(view.pool);
         }
+        view.drained_for = machine.drained_for;
         views.push_back(std::move(view));
     }
     return views;
@@ -345,19 +369,45 @@
     return views;
 }
 
+void fleet_runner::drain(const std::string& name, const std::string& pool, steady_time now)
+{
+    scheduler::server_state* server = server_of(name);
+    if (server != nullptr)
+    {
+        server->closed = true;
+        machines_[name].drained_for = pool;
+        machines_[name].drained_since = now;
+    }
+}
+
 void fleet_runner::plan_moves(steady_time now)
 {
     const std::vector<fleet::machine_view> machines = machine_views(now);
     const std::vector<fleet::pool_view> pools = pool_views();
     for (const fleet::move_order& move : planner_.decide(machines, pools, now))
     {
-        log_event(log_level::info, "machine_move",
+        log_event(log_level::info, move.drain_first ? "machine_drain" : "machine_move",
                   {{"machine", move.machine},
                    {"from", move.from},
                    {"to", move.to},
                    {"reason", move.reason},
                    {"term", owner_->term()}});
-        prepare_order(order_kind::move, move.machine, move.to, 0);
+        if (move.drain_first)
+        {
+            drain(move.machine, move.to, now);
+        }
+        else
+        {
+            prepare_order(order_kind::move, move.machine, move.to, 0);
+        }
+    }
+    for (auto& entry : machines_)
+    {
+        machine_entry& machine = entry.second;
+        if (!machine.drained_for.empty() && now - machine.drained_since >= drain_limit)
+        {
+            cancel_order(entry.first);
+        }
     }
 }
 
@@ -456,6 +506,8 @@
 {
     machine_entry& machine = machines_[name];
     machine.ordered = true;
+    machine.confirmed = false;
+    machine.drained_for.clear();
     machine.kind = kind;
     machine.target_pool = pool;
     machine.wave = wave;
@@ -497,6 +549,7 @@
     machine_entry& entry = found->second;
     if (outcome == adapter::machine_outcome::done)
     {
+        entry.confirmed = true;
         if (!entry.former_server.empty())
         {
             owner_->plan().server_gone(entry.former_server, entry.former_born, shared_.now());
--- a/src/manager/fleet_runner.hpp
+++ b/src/manager/fleet_runner.hpp
@@ -50,6 +50,11 @@
         std::string target_pool;
         std::int64_t wave = 0;
         steady_time ordered_at{};
+        /// The platform has confirmed the order.
+        bool confirmed = false;
+        /// Closed until it is idle, to move to this pool then.
+        std::string drained_for;
+        steady_time drained_since{};
         /// The server that the order ends.
         std::string former_server;
         std::int64_t former_born = 0;
@@ -83,6 +88,9 @@
     boost::asio::awaitable<void> store_wave(std::int64_t number);
     void note_arrivals();
     void cancel_order(const std::string& machine);
+    void drain(const std::string& machine, const std::string& pool, steady_time now);
+    [[nodiscard]] bool is_standby(const std::string& pool) const;
+    [[nodiscard]] bool is_over(const machine_entry& machine, steady_time asked) const;
     [[nodiscard]] bool is_reserved(const std::string& machine) const;
     void plan_moves(steady_time now);
     void plan_waves(steady_time now);
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -637,7 +637,10 @@
         {
             lose_runs(server, "the lease has ended", now);
         }
-        const bool forget = !server.registered && server.tasks.empty() && now > server.lease_end;
+        // An ended life is remembered as long as its registration may still be read.
+        const steady_time keep_until =
+            server.gone ? server.lease_end + settings_.registration_lag : server.lease_end;
+        const bool forget = !server.registered && server.tasks.empty() && now > keep_until;
         entry = forget ? servers_.erase(entry) : std::next(entry);
     }
     const std::int64_t wall_now = unix_milliseconds(wall);
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -164,6 +164,7 @@
     void requeue(const task_ref& ref, steady_time not_before);
     void apply_end(server_state& server, const worker::ended_task& ended, steady_time now);
     void end_of_gang(const task_ref& ref, worker::end_kind kind, steady_time now);
+    void end_former_lives(const worker::server& info, steady_time now);
     void lose_runs(server_state& server, std::string_view reason, steady_time now);
     void mark_dirty(job_state& job);
     [[nodiscard]] bool find_task(const worker::task_name& name, task_ref& ref);
--- a/src/scheduler/scheduler_servers.cpp
+++ b/src/scheduler/scheduler_servers.cpp
@@ -37,12 +37,13 @@
 void scheduler::update_server(const worker::server& info, steady_time now)
 {
     server_state& server = server_entry(info.id, info.born);
-    if (info.born < server.info.born)
+    if (info.born < server.info.born || (server.gone && info.born == server.info.born))
     {
         return;
     }
     if (info.born > server.info.born)
     {
+        server.gone = false;
         lose_runs(server, "the server has started again", now);
         server.ends_read = 0;
         server.ends_stored = 0;
@@ -67,6 +68,10 @@
         log_event(log_level::info, "server_drains",
                   {{"server", info.id}, {"left_ms", info.drain_remaining.count()}});
     }
+    if (!server.registered)
+    {
+        end_former_lives(info, now);
+    }
     plan_needed_ = plan_needed_ || !server.registered;
     server.registered = true;
     server.info = info;
@@ -83,6 +88,23 @@
     }
 }
 
+void scheduler::end_former_lives(const worker::server& info, steady_time now)
+{
+    if (info.machine.empty())
+    {
+        return;
+    }
+    for (const auto& entry : servers_)
+    {
+        const worker::server& other = entry.second->info;
+        if (other.machine == info.machine && other.id != info.id && other.born < info.born)
+        {
+            // A machine has one life at a time; the registration of an ended one stays for seconds.
+            server_gone(other.id, other.born, now);
+        }
+    }
+}
+
 void scheduler::remove_server(std::string_view id, steady_time now)
 {
     server_state* server = find_server(id);
@@ -105,7 +127,8 @@
     {
         return;
     }
-    lose_runs(*server, "another server answers at its address", now);
+    lose_runs(*server, "this life of the server is over", now);
+    server->gone = true;
     server->registered = false;
     server->lease_end = now;
 }
--- a/src/scheduler/settings.hpp
+++ b/src/scheduler/settings.hpp
@@ -36,6 +36,9 @@
     /// A run that exceeds its estimate by this factor and `overdue_margin` is taken for stuck.
     double overdue_factor = 4.0;
     milliseconds overdue_margin{1'500};
+    /// A registration may outlive its server this long: three heartbeats of 1.5 s, and as much
+    /// again while the store is away (platform page).
+    milliseconds registration_lag{9'000};
     /// Slowdown away from data or over several racks.
     double cross_rack_factor = 3.0;
 };
--- a/src/scheduler/state.hpp
+++ b/src/scheduler/state.hpp
@@ -130,6 +130,8 @@
     worker::server info;
     /// False once its registration is gone; its runs may go on until the lease ends.
     bool registered = false;
+    /// This life is known to be over; a registration of it that is read later is ignored.
+    bool gone = false;
     /// Booked by runs that may be there.
     job::resources used;
     std::vector<task_ref> tasks;
