--- a/src/manager/fleet_runner.cpp
+++ b/src/manager/fleet_runner.cpp
@@ -197,9 +197,10 @@
     machine.ordered = false;
     machine.drained_for.clear();
     scheduler::server_state* server = server_of(name);
-    if (server != nullptr && machine.closing_for_wave == 0)
+    if (server != nullptr)
     {
-        server->closed = false;
+        server->ending = false;
+        server->closed = machine.closing_for_wave != 0;
     }
 }
 
@@ -228,9 +229,10 @@
         {
             entry.ordered = false;
             scheduler::server_state* server = server_of(entry.listed.name);
-            if (server != nullptr && entry.closing_for_wave == 0)
+            if (server != nullptr)
             {
-                server->closed = false;
+                server->ending = false;
+                server->closed = entry.closing_for_wave != 0;
             }
         }
     }
@@ -490,6 +492,12 @@
         }
         for (const std::string& name : step.maintain)
         {
+            // The machines chosen before this one in the same round use up budgets too.
+            scheduler::server_state* server = server_of(name);
+            if (server != nullptr && !owner_->plan().can_interrupt(*server))
+            {
+                continue;
+            }
             log_event(log_level::info, "machine_maintenance",
                       {{"machine", name},
                        {"wave", wave.wanted.number},
@@ -518,6 +526,7 @@
     if (server != nullptr)
     {
         server->closed = true;
+        server->ending = true;
         machine.former_server = server->info.id;
         machine.former_born = server->info.born;
     }
--- a/src/scheduler/scheduler_servers.cpp
+++ b/src/scheduler/scheduler_servers.cpp
@@ -50,6 +50,7 @@
         server.fenced = false;
         server.clock_known = false;
         server.closed = false;
+        server.ending = false;
     }
     if (!server.registered)
     {
@@ -448,7 +449,7 @@
 
 bool scheduler::is_answering(const server_state& server) const
 {
-    return server.registered && server.unanswered == 0 &&
+    return server.registered && !server.ending && server.unanswered == 0 &&
            now_ - server.answered <= settings_.silence_limit;
 }
 
--- a/src/scheduler/state.hpp
+++ b/src/scheduler/state.hpp
@@ -139,6 +139,8 @@
     int lasting = 0;
     /// Runs that book no processor among `tasks`.
     int best_effort = 0;
+    /// An order that ends everything here is about to be sent or under way.
+    bool ending = false;
     /// No new runs: it is to move, to be maintained, or is set aside.
     bool closed = false;
     /// Not chosen before this, after refusals or failures.
--- a/tests/scheduler/scheduler_test.cpp
+++ b/tests/scheduler/scheduler_test.cpp
@@ -165,6 +165,25 @@
     }
 }
 
+TEST_CASE("of two servers with tasks of one step, only one may be ended at once", "[scheduler]")
+{
+    // Guards against two machines of a wave that are chosen in one round, each within the budget.
+    scheduler_world world(1, {}, wrong_variant::none);
+    world.add_servers(2, host_capacity);
+    job::record record = make_job("lasting", 1, 2, 1'000, milliseconds(500));
+    record.work.steps.front().long_running = true;
+    record.work.steps.front().max_per_server = 1;
+    record.work.steps.front().disruption_budget = 1;
+    world.submit(record);
+    world.run(milliseconds(1'500));
+    scheduler::server_state& first = *world.owner().find_server("s0");
+    scheduler::server_state& second = *world.owner().find_server("s1");
+    REQUIRE(world.owner().can_interrupt(first));
+    REQUIRE(world.owner().can_interrupt(second));
+    first.ending = true;
+    CHECK_FALSE(world.owner().can_interrupt(second));
+}
+
 TEST_CASE("tasks of a step that starts up count against its budget", "[scheduler]")
 {
     // The last list shows percent 0; the task may be at full speed by now.
