--- a/src/core/log.hpp
+++ b/src/core/log.hpp
@@ -25,7 +25,7 @@
 /// `log_dropped` instead.
 void set_up_bounded_log(std::string_view node, log_level lowest);
 
-/// Writes one event. `event` is a stable identifier listed in docs/operations.md; `fields` are
+/// Writes one event. `event` is a stable identifier listed in docs/OPERATIONS.md; `fields` are
 /// added to the line. Thread-safe.
 void log_event(log_level level, std::string_view event, boost::json::object fields = {});
 
--- a/src/report/burn.hpp
+++ b/src/report/burn.hpp
@@ -38,7 +38,7 @@
     std::string service;
     double slo = 0.0;
     std::vector<window_burn> windows;
-    /// `ok`, `slow_burn` or `fast_burn`; see docs/operations.md.
+    /// `ok`, `slow_burn` or `fast_burn`; see docs/OPERATIONS.md.
     std::string alarm;
 };
 
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -576,8 +576,36 @@
     return result;
 }
 
+void scheduler::log_starts(const batch& work, steady_time now)
+{
+    std::map<std::pair<std::string, int>, std::vector<const worker::start_order*>> groups;
+    for (const worker::start_order& order : work.starts)
+    {
+        groups[{order.task.job, order.task.position.step}].push_back(&order);
+    }
+    for (const auto& entry : groups)
+    {
+        const worker::start_order& first = *entry.second.front();
+        task_ref ref;
+        if (!find_task(first.task, ref))
+        {
+            continue;
+        }
+        const steady_time due = ref.job->occurrences[ref.occurrence].due;
+        log_event(log_level::info, "tasks_started",
+                  {{"job", first.task.job},
+                   {"step", first.task.position.step},
+                   {"tasks", entry.second.size()},
+                   {"run", first.run},
+                   {"server", first.server},
+                   {"age_ms", std::chrono::duration_cast<milliseconds>(now - due).count()},
+                   {"allowed_ms", ref.job->allowed.count()}});
+    }
+}
+
 void scheduler::stored(const batch& work, steady_time now)
 {
+    log_starts(work, now);
     for (const worker::start_order& order : work.starts)
     {
         task_ref ref;
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -184,6 +184,7 @@
     void apply_end(server_state& server, const worker::ended_task& ended, steady_time now);
     void end_of_gang(const task_ref& ref, worker::end_kind kind, steady_time now);
     void end_former_lives(const worker::server& info, steady_time now);
+    [[nodiscard]] bool has_later_life(const worker::server& info) const;
     void lose_runs(server_state& server, std::string_view reason, steady_time now);
     void mark_dirty(job_state& job);
     [[nodiscard]] bool find_task(const worker::task_name& name, task_ref& ref);
@@ -194,6 +195,7 @@
     [[nodiscard]] job::progress snapshot(const job_state& job) const;
     void judge_server(server_state& server, bool failed, steady_time now);
     void plan(steady_time now);
+    void log_starts(const batch& work, steady_time now);
 
     settings settings_;
     std::unordered_map<std::string, job::queue> queues_;
--- a/src/scheduler/scheduler_servers.cpp
+++ b/src/scheduler/scheduler_servers.cpp
@@ -52,8 +52,14 @@
         server.closed = false;
         server.ending = false;
     }
+    if (!server.registered && has_later_life(info))
+    {
+        server_gone(info.id, info.born, now);
+        return;
+    }
     if (!server.registered)
     {
+        end_former_lives(info, now);
         server.joined = now;
         server.idle_since = now;
         server.answered = now;
@@ -69,10 +75,6 @@
         log_event(log_level::info, "server_drains",
                   {{"server", info.id}, {"left_ms", info.drain_remaining.count()}});
     }
-    if (!server.registered)
-    {
-        end_former_lives(info, now);
-    }
     plan_needed_ = plan_needed_ || !server.registered;
     server.registered = true;
     server.info = info;
@@ -106,6 +108,18 @@
     }
 }
 
+bool scheduler::has_later_life(const worker::server& info) const
+{
+    return !info.machine.empty() &&
+           std::any_of(servers_.begin(), servers_.end(),
+                       [&](const auto& entry)
+                       {
+                           const worker::server& other = entry.second->info;
+                           return other.machine == info.machine && other.id != info.id &&
+                                  other.born > info.born;
+                       });
+}
+
 void scheduler::remove_server(std::string_view id, steady_time now)
 {
     server_state* server = find_server(id);
--- a/tests/scheduler/scheduler_test.cpp
+++ b/tests/scheduler/scheduler_test.cpp
@@ -239,6 +239,28 @@
     CHECK_FALSE(owner.find_server("old")->registered);
 }
 
+TEST_CASE("an ended life that is read after the new one is not used", "[scheduler]")
+{
+    // Guards against a new owner that reads registrations in the order of their ids: it took the
+    // ended life for the machine's server, found it idle, and moved the machine with the lasting
+    // tasks of the new one (AVAIL, trouble-3 of mabwysiadu-sw).
+    scheduler::scheduler owner{scheduler::settings{}};
+    const steady_time now{std::chrono::hours(1)};
+    worker::server info;
+    info.id = "a-new";
+    info.machine = "m";
+    info.pool = "pool";
+    info.born = 2'000;
+    info.capacity = host_capacity;
+    owner.update_server(info, now);
+    worker::server ended = info;
+    ended.id = "b-old";
+    ended.born = 1'000;
+    owner.update_server(ended, now);
+    CHECK(owner.find_server("a-new")->registered);
+    CHECK_FALSE(owner.find_server("b-old")->registered);
+}
+
 TEST_CASE("an end that is listed again after a takeover counts once", "[scheduler]")
 {
     job::record record = make_job("a", 1, 1, 1'000, milliseconds(500));
