--- a/src/manager/daemon.cpp
+++ b/src/manager/daemon.cpp
@@ -9,6 +9,7 @@
 #include "manager/feed.hpp"
 #include "manager/fleet_runner.hpp"
 #include "manager/front.hpp"
+#include "manager/metrics_collection.hpp"
 #include "manager/session.hpp"
 #include "platform/decode.hpp"
 #include "platform/settings.hpp"
@@ -99,39 +100,8 @@
 
     boost::asio::awaitable<http::response> answer_metrics()
     {
-        metrics& measured = shared_.measured;
-        const adapter::store_counters& store = shared_.store.counters();
-        measured.set_total("lacewingquay_store_commits_total", "Transactions sent to the store.",
-                           store.commits);
-        measured.set_total("lacewingquay_store_reads_total", "Reads sent to the store.",
-                           store.reads);
-        measured.set_total("lacewingquay_store_failures_total",
-                           "Calls to the store that were refused or not answered.", store.failures);
-        measured.set_total("lacewingquay_store_bytes_total",
-                           "Bytes of bodies written to and read from the store.", store.bytes);
-        measured.set_total("lacewingquay_connections_total",
-                           "Connections opened to the store, servers and machine service.",
-                           shared_.connections.opened());
-        measured.set("lacewingquay_jobs_known", "Jobs that this host can show to callers.",
-                     static_cast<double>(shared_.jobs.size()));
-        measured.set("lacewingquay_ready", "1 while this host takes callers.", is_ready() ? 1 : 0);
-        const bool owns = session_ && !session_->ended();
-        measured.set("lacewingquay_owner", "1 while this host schedules.", owns ? 1 : 0);
-        measured.set("lacewingquay_owner_term", "Newest known term of ownership.",
-                     static_cast<double>(shared_.owner.row().term));
-        if (owns)
-        {
-            const session_counters& work = session_->counters();
-            measured.set("lacewingquay_session_starts", "Orders to start in this term.",
-                         static_cast<double>(work.starts));
-            measured.set("lacewingquay_session_stops", "Orders to stop in this term.",
-                         static_cast<double>(work.stops));
-            measured.set("lacewingquay_session_looks", "Looks at servers in this term.",
-                         static_cast<double>(work.looks));
-            measured.set("lacewingquay_active_jobs", "Jobs that are not finished.",
-                         static_cast<double>(session_->plan().active_jobs()));
-        }
-        co_return http::make_response(http::status::ok, measured.text(),
+        collect_metrics(shared_, session_.get(), is_ready());
+        co_return http::make_response(http::status::ok, shared_.measured.text(),
                                       "text/plain; version=0.0.4");
     }
 
--- /dev/null
+++ b/src/manager/fleet_orders.cpp
@@ -0,0 +1,293 @@
+#include "core/json.hpp"
+#include "core/log.hpp"
+#include "manager/fleet_runner.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingquay::manager
+{
+
+namespace
+{
+
+constexpr std::string_view orders_key = "orders";
+/// An order ends within some milliseconds; longer answers count as lost.
+constexpr milliseconds order_timeout{900};
+/// Beyond the lease between two holders' orders.
+constexpr milliseconds handover_slack{400};
+
+} // namespace
+
+boost::asio::awaitable<bool> fleet_runner::load_orders()
+{
+    const adapter::read_result row =
+        co_await shared_.store.read_row(fleet_table, orders_key, read_timeout);
+    if (!row.ok)
+    {
+        co_return false;
+    }
+    orders_loaded_ = true;
+    if (row.rows.empty())
+    {
+        co_return true;
+    }
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void>
+        {
+            BOOST_LEAF_AUTO(body, parse_json_object(row.rows.front().value, "orders"));
+            for (const boost::json::key_value_pair& entry : body)
+            {
+                boost::system::error_code error;
+                const std::int64_t at = entry.value().to_number<std::int64_t>(error);
+                const milliseconds age = shared_.store_time() - milliseconds(error ? 0 : at);
+                reserved_until_[entry.key()] =
+                    shared_.now() - age + shared_.config.machine_lease + handover_slack;
+            }
+            return {};
+        },
+        [&](const input_error& error) {
+            log_event(log_level::error, "orders_unreadable", {{"reason", error.message()}});
+        },
+        [] {});
+    co_return true;
+}
+
+boost::asio::awaitable<bool> fleet_runner::store_orders()
+{
+    boost::json::object body;
+    for (const auto& entry : machines_)
+    {
+        const milliseconds age =
+            std::chrono::duration_cast<milliseconds>(shared_.now() - entry.second.ordered_at);
+        if (age < shared_.config.machine_lease + handover_slack)
+        {
+            body[entry.first] = (shared_.store_time() - age).count();
+        }
+    }
+    adapter::transaction work;
+    work.conditions.push_back(
+        {std::string(jobs_table), std::string(owner_key), owner_->owner_version()});
+    work.writes.push_back(
+        {std::string(fleet_table), std::string(orders_key), boost::json::serialize(body)});
+    const adapter::commit_result result = co_await shared_.store.commit(work, commit_timeout);
+    co_return result.outcome == adapter::commit_outcome::done;
+}
+
+boost::asio::awaitable<void> fleet_runner::send_planned()
+{
+    if (planned_.empty())
+    {
+        co_return;
+    }
+    // The owner's row may be renewed while this transaction is under way; it is tried again then.
+    constexpr int attempts = 3;
+    bool stored = false;
+    for (int attempt = 0; attempt < attempts && !stored && !owner_->ended(); ++attempt)
+    {
+        stored = co_await store_orders();
+    }
+    for (const std::string& name : std::exchange(planned_, {}))
+    {
+        const auto found = machines_.find(name);
+        if (found == machines_.end())
+        {
+            continue;
+        }
+        const machine_entry& machine = found->second;
+        if (!stored)
+        {
+            cancel_order(name);
+            continue;
+        }
+        boost::asio::co_spawn(
+            shared_.io,
+            [self = shared_from_this(), kind = machine.kind, name, pool = machine.target_pool,
+             wave = machine.wave] { return self->order(kind, name, pool, wave); },
+            boost::asio::detached);
+    }
+}
+
+void fleet_runner::cancel_order(const std::string& name)
+{
+    machine_entry& machine = machines_[name];
+    machine.ordered = false;
+    machine.drained_for.clear();
+    scheduler::server_state* server = server_of(name);
+    if (server != nullptr)
+    {
+        server->ending = false;
+        server->closed = machine.closing_for_wave != 0;
+    }
+}
+
+void fleet_runner::prepare_order(order_kind kind, const std::string& name, const std::string& pool,
+                                 std::int64_t wave)
+{
+    machine_entry& machine = machines_[name];
+    machine.ordered = true;
+    machine.confirmed = false;
+    machine.drained_for.clear();
+    machine.kind = kind;
+    machine.target_pool = pool;
+    machine.wave = wave;
+    machine.ordered_at = shared_.now();
+    machine.former_server.clear();
+    machine.former_born = 0;
+    scheduler::server_state* server = server_of(name);
+    if (server != nullptr)
+    {
+        server->closed = true;
+        server->ending = true;
+        machine.former_server = server->info.id;
+        machine.former_born = server->info.born;
+    }
+    planned_.push_back(name);
+}
+
+boost::asio::awaitable<void> fleet_runner::order(order_kind kind, std::string machine,
+                                                 std::string pool, std::int64_t wave)
+{
+    const std::shared_ptr<fleet_runner> self = shared_from_this();
+    adapter::machine_outcome outcome = adapter::machine_outcome::refused;
+    if (owner_->is_confirmed(confirmed_age))
+    {
+        if (kind == order_kind::move)
+        {
+            outcome = co_await shared_.machines.move(machine, pool, owner_->term(), order_timeout);
+        }
+        else
+        {
+            outcome =
+                co_await shared_.machines.maintain(machine, wave, owner_->term(), order_timeout);
+        }
+    }
+    const auto found = machines_.find(machine);
+    if (owner_->ended() || found == machines_.end())
+    {
+        co_return;
+    }
+    machine_entry& entry = found->second;
+    if (outcome == adapter::machine_outcome::done)
+    {
+        entry.confirmed = true;
+        if (!entry.former_server.empty())
+        {
+            owner_->plan().server_gone(entry.former_server, entry.former_born, shared_.now());
+        }
+        if (kind == order_kind::maintain)
+        {
+            entry.closing_for_wave = 0;
+            waves_[wave].done.insert(machine);
+            entry.listed.state = fleet::machine_state::maintenance;
+            co_await store_wave(wave);
+        }
+        co_return;
+    }
+    log_event(log_level::info, "machine_order_failed",
+              {{"machine", machine},
+               {"pool", pool},
+               {"wave", wave},
+               {"outcome", static_cast<int>(outcome)}});
+    if (outcome == adapter::machine_outcome::unknown)
+    {
+        // The list tells later whether it was carried out; until then it counts as under way.
+        co_return;
+    }
+    if (outcome == adapter::machine_outcome::malformed && kind == order_kind::move)
+    {
+        planner_.forbid(machine, pool);
+    }
+    if (outcome == adapter::machine_outcome::not_in_wave ||
+        (outcome == adapter::machine_outcome::malformed && kind == order_kind::maintain))
+    {
+        waves_[wave].done.insert(machine);
+        entry.closing_for_wave = 0;
+    }
+    cancel_order(machine);
+}
+
+boost::asio::awaitable<void> fleet_runner::load_waves()
+{
+    for (auto& entry : waves_)
+    {
+        wave_entry& wave = entry.second;
+        if (wave.loaded)
+        {
+            continue;
+        }
+        const adapter::read_result row = co_await shared_.store.read_row(
+            fleet_table, "wave/" + std::to_string(entry.first), read_timeout);
+        if (!row.ok)
+        {
+            continue;
+        }
+        wave.loaded = true;
+        if (!row.rows.empty())
+        {
+            boost::leaf::try_handle_all(
+                [&]() -> boost::leaf::result<void>
+                {
+                    BOOST_LEAF_AUTO(body, parse_json_object(row.rows.front().value, "wave"));
+                    json_reader reader(body, "wave");
+                    BOOST_LEAF_AUTO(done, reader.array("done"));
+                    for (const boost::json::value& name : *done)
+                    {
+                        if (name.is_string())
+                        {
+                            wave.done.emplace(name.get_string());
+                        }
+                    }
+                    BOOST_LEAF_AUTO(begun, reader.integer("begun_ms", 0, 1'000'000'000'000));
+                    wave.begun = shared_.now() - (shared_.store_time() - milliseconds(begun));
+                    return {};
+                },
+                [&](const input_error& error)
+                {
+                    log_event(log_level::error, "wave_unreadable",
+                              {{"wave", entry.first}, {"reason", error.message()}});
+                },
+                [] {});
+        }
+        co_await store_wave(entry.first);
+    }
+}
+
+boost::asio::awaitable<void> fleet_runner::store_wave(std::int64_t number)
+{
+    const std::shared_ptr<fleet_runner> self = shared_from_this();
+    const std::string name = "wave/" + std::to_string(number);
+    wave_entry& wave = waves_[number];
+    boost::json::array done;
+    for (const std::string& machine : wave.done)
+    {
+        done.emplace_back(machine);
+    }
+    const milliseconds begun =
+        shared_.store_time() - std::chrono::duration_cast<milliseconds>(shared_.now() - wave.begun);
+    const boost::json::object body{{"done", std::move(done)}, {"begun_ms", begun.count()}};
+    adapter::transaction work;
+    work.writes.push_back({std::string(fleet_table), name, boost::json::serialize(body)});
+    // The record of done machines may be lost with this host: an order that is repeated for a
+    // machine that is done changes nothing.
+    co_await shared_.store.commit(work, commit_timeout);
+    bool& reported = wave.completed ? wave.stored_completed : wave.stored_running;
+    while (!reported && !owner_->ended())
+    {
+        adapter::transaction report;
+        report.writes.push_back(
+            {std::string(status_table), name,
+             wave.completed ? R"({"state":"completed"})" : R"({"state":"running"})"});
+        const adapter::commit_result result = co_await shared_.store.commit(report, commit_timeout);
+        reported = result.outcome == adapter::commit_outcome::done;
+        if (!reported)
+        {
+            co_await pause(shared_, milliseconds(300));
+        }
+    }
+}
+
+} // namespace lacewingquay::manager
--- a/src/manager/fleet_runner.hpp
+++ b/src/manager/fleet_runner.hpp
@@ -20,6 +20,9 @@
 /// Table of the fleet's own rows.
 inline constexpr std::string_view fleet_table = "fleet";
 
+/// Orders are given only while the ownership was confirmed by the store this recently.
+inline constexpr milliseconds confirmed_age{1'200};
+
 /// Moves machines between pools and carries out maintenance waves, as part of an owner's session.
 /// Orders carry the owner's term as fencing token, and begin only when a former owner's have ended.
 class fleet_runner : public std::enable_shared_from_this<fleet_runner>
--- a/src/manager/front.cpp
+++ b/src/manager/front.cpp
@@ -195,6 +195,22 @@
                       outage_retry_seconds);
 }
 
+boost::asio::awaitable<std::optional<http::response>> front::refuse_unknown(std::string id)
+{
+    const adapter::read_result row =
+        co_await shared_.store.read_row(jobs_table, std::string(job_prefix) + id, read_timeout);
+    if (!row.ok)
+    {
+        co_return refusal(http::status::service_unavailable, "the store is away",
+                          outage_retry_seconds);
+    }
+    if (row.rows.empty())
+    {
+        co_return refusal(http::status::gone, "no such job", 0);
+    }
+    co_return std::nullopt;
+}
+
 boost::asio::awaitable<http::response> front::show(std::string id)
 {
     ++counters_.state_reads;
@@ -205,16 +221,10 @@
     }
     if (!known)
     {
-        const adapter::read_result row =
-            co_await shared_.store.read_row(jobs_table, std::string(job_prefix) + id, read_timeout);
-        if (!row.ok)
+        std::optional<http::response> missing = co_await refuse_unknown(id);
+        if (missing)
         {
-            co_return refusal(http::status::service_unavailable, "the store is away",
-                              outage_retry_seconds);
-        }
-        if (row.rows.empty())
-        {
-            co_return refusal(http::status::gone, "no such job", 0);
+            co_return std::move(*missing);
         }
     }
     const adapter::read_result row =
@@ -251,16 +261,10 @@
     }
     if (!known)
     {
-        const adapter::read_result row =
-            co_await shared_.store.read_row(jobs_table, std::string(job_prefix) + id, read_timeout);
-        if (!row.ok)
-        {
-            co_return refusal(http::status::service_unavailable, "the store is away",
-                              outage_retry_seconds);
-        }
-        if (row.rows.empty())
+        std::optional<http::response> missing = co_await refuse_unknown(id);
+        if (missing)
         {
-            co_return refusal(http::status::gone, "no such job", 0);
+            co_return std::move(*missing);
         }
     }
     const adapter::commit_outcome outcome =
--- a/src/manager/front.hpp
+++ b/src/manager/front.hpp
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -74,6 +75,8 @@
                                                               bool is_new, steady_time give_up);
     boost::asio::awaitable<http::response> submit(const job::queue& queue, std::string id,
                                                   std::string body, steady_time give_up);
+    /// The answer to a request for a job that is not stored, or nothing if it is.
+    boost::asio::awaitable<std::optional<http::response>> refuse_unknown(std::string id);
     boost::asio::awaitable<http::response> show(std::string id);
     boost::asio::awaitable<http::response> cancel(std::string id, steady_time give_up);
     void settle(submission& entry, adapter::commit_outcome outcome);
--- /dev/null
+++ b/src/manager/session_orders.cpp
@@ -0,0 +1,254 @@
+#include "core/log.hpp"
+#include "manager/session.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingquay::manager
+{
+
+namespace
+{
+
+constexpr auto waiting = boost::asio::as_tuple(boost::asio::use_awaitable);
+
+/// An order is answered within some milliseconds; a lost one is repeated once.
+constexpr milliseconds order_timeout{400};
+/// The answer to a look waits this long for an end.
+constexpr milliseconds look_wait{1'000};
+/// A lasting task that has just been started is looked at sooner: until it is at work, no other of
+/// its step may be stopped.
+constexpr milliseconds startup_wait{250};
+constexpr milliseconds look_timeout{700};
+/// Ends that come together are read with one look.
+constexpr milliseconds look_interval{50};
+constexpr milliseconds failed_look_pause{300};
+/// The advice service takes time for a decision and for each server named.
+constexpr milliseconds advice_timeout{3'000};
+/// Orders that are sent to one server at the same time.
+constexpr std::size_t order_lanes = 2;
+
+} // namespace
+
+void session::dispatch(const scheduler::batch& work)
+{
+    std::map<std::string, std::vector<worker::start_order>> lanes;
+    std::map<std::string, std::size_t> next_lane;
+    for (const worker::start_order& order : work.starts)
+    {
+        const std::size_t lane = next_lane[order.server]++ % order_lanes;
+        lanes[order.server + "/" + std::to_string(lane)].push_back(order);
+    }
+    for (auto& entry : lanes)
+    {
+        boost::asio::co_spawn(
+            shared_.io,
+            [self = shared_from_this(), orders = std::move(entry.second)]() mutable
+            { return self->send_starts(std::move(orders)); },
+            boost::asio::detached);
+    }
+    for (const std::pair<std::string, std::int64_t>& entry : work.acknowledgements)
+    {
+        wake_server(entry.first);
+    }
+}
+
+void session::wake_server(const std::string& id)
+{
+    const auto found = served_.find(id);
+    if (found != served_.end())
+    {
+        found->second->cancel();
+    }
+}
+
+boost::asio::awaitable<void> session::send_starts(std::vector<worker::start_order> orders)
+{
+    const std::shared_ptr<session> self = shared_from_this();
+    for (const worker::start_order& order : orders)
+    {
+        if (ended_)
+        {
+            co_return;
+        }
+        worker::order_outcome outcome = worker::order_outcome::not_sent;
+        bool in_doubt = false;
+        for (int attempt = 0; attempt < 2; ++attempt)
+        {
+            scheduler::server_state* server = scheduler_.find_server(order.server);
+            if (server == nullptr || server->info.born != order.server_born)
+            {
+                break;
+            }
+            const milliseconds deadline = scheduler_.grant_lease(*server, shared_.now());
+            if (deadline.count() == 0)
+            {
+                break;
+            }
+            ++counters_.starts;
+            const adapter::order_result result =
+                co_await shared_.workers.start(order, deadline, term_, order_timeout);
+            outcome = result.outcome;
+            if (outcome == worker::order_outcome::unknown)
+            {
+                in_doubt = true;
+                continue;
+            }
+            break;
+        }
+        if (ended_)
+        {
+            co_return;
+        }
+        if (outcome == worker::order_outcome::fenced)
+        {
+            end("a server has seen a higher fencing token");
+            co_return;
+        }
+        if (in_doubt && outcome != worker::order_outcome::accepted &&
+            outcome != worker::order_outcome::other_server)
+        {
+            outcome = worker::order_outcome::unknown;
+        }
+        if (outcome == worker::order_outcome::unknown || outcome == worker::order_outcome::not_sent)
+        {
+            scheduler_.call_unanswered(order.server, order.server_born);
+        }
+        scheduler_.start_answered(order, outcome, shared_.now());
+        wake_server(order.server);
+        if (outcome != worker::order_outcome::accepted)
+        {
+            wake_.cancel();
+        }
+    }
+}
+
+boost::asio::awaitable<void> session::send_stop(worker::stop_order order)
+{
+    const std::shared_ptr<session> self = shared_from_this();
+    ++counters_.stops;
+    const adapter::order_result result = co_await shared_.workers.stop(order, term_, order_timeout);
+    if (ended_)
+    {
+        co_return;
+    }
+    if (result.outcome == worker::order_outcome::fenced)
+    {
+        end("a server has seen a higher fencing token");
+        co_return;
+    }
+    scheduler_.stop_answered(order, result.outcome, shared_.now());
+    wake_server(order.server);
+}
+
+boost::asio::awaitable<void> session::serve(std::string id)
+{
+    const std::shared_ptr<session> self = shared_from_this();
+    const std::shared_ptr<boost::asio::steady_timer> timer = served_[id];
+    std::int64_t acknowledged = 0;
+    std::int64_t born = 0;
+    while (!ended_)
+    {
+        scheduler::server_state* server = scheduler_.find_server(id);
+        if (server == nullptr)
+        {
+            break;
+        }
+        if (server->info.born != born)
+        {
+            born = server->info.born;
+            acknowledged = 0;
+        }
+        const bool has_work = !server->tasks.empty() || server->ends_stored > acknowledged ||
+                              !server->fenced || server->unanswered > 0;
+        if (!has_work)
+        {
+            timer->expires_after(server->registered ? milliseconds(2'000) : milliseconds(500));
+            co_await timer->async_wait(waiting);
+            continue;
+        }
+        adapter::hold_call call;
+        call.server = id;
+        call.where = server->info.where;
+        call.fencing_token = term_;
+        call.acknowledged_ends = server->ends_stored;
+        const steady_time asked = shared_.now();
+        call.deadline =
+            server->tasks.empty() ? milliseconds(0) : scheduler_.grant_lease(*server, asked);
+        call.wait = server->tasks.empty() || !server->fenced              ? milliseconds(0)
+                    : scheduler::scheduler::has_task_starting_up(*server) ? startup_wait
+                                                                          : look_wait;
+        ++counters_.looks;
+        const adapter::hold_result result = co_await shared_.workers.hold(call, look_timeout);
+        if (ended_)
+        {
+            break;
+        }
+        using worker::order_outcome;
+        if (result.outcome == order_outcome::accepted)
+        {
+            scheduler_.apply_report(id, *result.lists, asked, shared_.now());
+            acknowledged = call.acknowledged_ends;
+            if (!result.lists->ended.empty())
+            {
+                wake_.cancel();
+            }
+            co_await pause(shared_, look_interval);
+            continue;
+        }
+        if (result.outcome == order_outcome::fenced)
+        {
+            end("a server has seen a higher fencing token");
+            break;
+        }
+        if (result.outcome == order_outcome::other_server)
+        {
+            scheduler_.server_gone(id, born, shared_.now());
+        }
+        else
+        {
+            scheduler_.call_unanswered(id, born);
+        }
+        log_event(log_level::info, "look_failed",
+                  {{"server", id},
+                   {"outcome", worker::outcome_name(result.outcome)},
+                   {"reason", result.reason}});
+        co_await pause(shared_, failed_look_pause);
+    }
+    served_.erase(id);
+}
+
+boost::asio::awaitable<void> session::ask_advice()
+{
+    const std::shared_ptr<session> self = shared_from_this();
+    // The service handles one call of a host at a time.
+    while (!ended_ && !questions_.empty())
+    {
+        const scheduler::advice_request request = std::move(questions_.front());
+        questions_.pop_front();
+        const adapter::advice answer =
+            co_await adapter::ask_advice(shared_.connections, shared_.config.advice, request.task,
+                                         request.servers, advice_timeout);
+        log_event(log_level::info, "advice",
+                  {{"job", request.task.job},
+                   {"step", request.task.position.step},
+                   {"asked", request.servers.size()},
+                   {"permitted", answer.tickets.size()},
+                   {"answered", answer.ok}});
+        if (!answer.ok)
+        {
+            co_await pause(shared_, failed_look_pause);
+        }
+        scheduler_.advice_answered(request, answer.ok, answer.tickets, answer.validity,
+                                   shared_.now());
+        wake_.cancel();
+    }
+    asking_ = false;
+}
+
+} // namespace lacewingquay::manager
--- /dev/null
+++ b/src/scheduler/scheduler_reports.cpp
@@ -0,0 +1,294 @@
+#include "core/log.hpp"
+#include "scheduler/scheduler.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace lacewingquay::scheduler
+{
+
+namespace
+{
+
+/// A list with this many ends may be cut, and the rest comes with the next call.
+constexpr std::size_t full_list = 500;
+
+} // namespace
+
+void scheduler::apply_report(std::string_view id, const worker::report& lists, steady_time asked,
+                             steady_time now)
+{
+    server_state* found = find_server(id);
+    if (found == nullptr || lists.born < found->info.born)
+    {
+        return;
+    }
+    server_state& server = *found;
+    if (lists.born > server.info.born)
+    {
+        lose_runs(server, "the server has started again", now);
+        server.info.born = lists.born;
+        server.ends_read = 0;
+        server.ends_stored = 0;
+    }
+    now_ = now;
+    server.answered = now;
+    server.unanswered = 0;
+    server.fenced = true;
+    server.clock_known = true;
+    server.clock_offset =
+        lists.clock - std::chrono::duration_cast<milliseconds>(now.time_since_epoch());
+    for (const worker::ended_task& ended : lists.ended)
+    {
+        if (ended.number > server.ends_read)
+        {
+            apply_end(server, ended, now);
+            server.ends_read = ended.number;
+        }
+    }
+    std::set<task_state*> listed;
+    std::set<worker::task_name> unknown;
+    for (const worker::running_task& entry : lists.running)
+    {
+        task_ref ref;
+        const bool known = find_task(entry.task, ref);
+        task_state* task = known ? &ref.task() : nullptr;
+        if (task == nullptr || task->server != &server || task->run != entry.run ||
+            task->phase == task_phase::assigned)
+        {
+            unknown.insert(entry.task);
+            foreign_.try_emplace({server.info.id, entry.task}, entry.run, steady_time{});
+            continue;
+        }
+        listed.insert(task);
+        if (task->phase != task_phase::running)
+        {
+            task->phase = task_phase::running;
+            task->since = now;
+            if (!job::is_final(ref.job->shown))
+            {
+                task->stop_wanted = false;
+            }
+        }
+        if (!entry.checkpoint.empty())
+        {
+            task->checkpoint = entry.checkpoint;
+        }
+        task->at_work = ref.definition().long_running && entry.percent >= 100;
+    }
+    for (auto entry = foreign_.begin(); entry != foreign_.end();)
+    {
+        const bool over =
+            entry->first.first == server.info.id && !unknown.contains(entry->first.second);
+        entry = over ? foreign_.erase(entry) : std::next(entry);
+    }
+    if (lists.ended.size() >= full_list)
+    {
+        return;
+    }
+    const std::vector<task_ref> tasks = server.tasks;
+    for (const task_ref& ref : tasks)
+    {
+        const task_state& task = ref.task();
+        if (task.server != &server || listed.contains(&ref.task()))
+        {
+            continue;
+        }
+        const bool unresolved = task.phase == task_phase::unresolved && task.resolve_after <= asked;
+        const bool vanished = task.phase == task_phase::running && task.since < asked;
+        if (unresolved || vanished)
+        {
+            log_event(log_level::info, "run_not_there",
+                      {{"job", ref.job->record.id},
+                       {"server", server.info.id},
+                       {"run", task.run},
+                       {"vanished", vanished}});
+            if (ref.definition().gang)
+            {
+                end_of_gang(ref, worker::end_kind::broken, now);
+            }
+            else
+            {
+                requeue(ref, {});
+            }
+        }
+    }
+}
+
+void scheduler::start_answered(const worker::start_order& order, worker::order_outcome outcome,
+                               steady_time now)
+{
+    using worker::order_outcome;
+    task_ref ref;
+    server_state* server = find_server(order.server);
+    if (!find_task(order.task, ref) || server == nullptr)
+    {
+        return;
+    }
+    task_state& task = ref.task();
+    const bool current =
+        task.server == server && task.run == order.run && server->info.born == order.server_born;
+    if (outcome == order_outcome::accepted)
+    {
+        server->answered = now;
+        server->unanswered = 0;
+        if (current && task.phase == task_phase::starting)
+        {
+            task.phase = task_phase::running;
+            task.since = now;
+        }
+        return;
+    }
+    log_event(log_level::info, "start_failed",
+              {{"job", order.task.job},
+               {"step", order.task.position.step},
+               {"index", order.task.position.index},
+               {"run", order.run},
+               {"server", order.server},
+               {"outcome", worker::outcome_name(outcome)}});
+    if (outcome != order_outcome::stale_run && outcome != order_outcome::fenced &&
+        outcome != order_outcome::bad_ticket)
+    {
+        server->avoid_until = std::max(server->avoid_until, now + settings_.refusal_pause);
+    }
+    if (outcome == order_outcome::other_server)
+    {
+        server_gone(order.server, order.server_born, now);
+        return;
+    }
+    if (!current || task.phase != task_phase::starting)
+    {
+        return;
+    }
+    if (outcome == order_outcome::bad_ticket)
+    {
+        // The ticket is asked for again.
+        ref.steps().tickets.erase(order.server);
+        ref.steps().advised.erase(order.server);
+    }
+    if (outcome == order_outcome::stale_run || outcome == order_outcome::fenced)
+    {
+        task.phase = task_phase::unresolved;
+        task.resolve_after = now;
+        return;
+    }
+    if (outcome == order_outcome::unknown)
+    {
+        task.stop_wanted = true;
+        stops_.push_back(ref);
+        return;
+    }
+    if (ref.definition().gang)
+    {
+        end_of_gang(ref, worker::end_kind::broken, now);
+        return;
+    }
+    requeue(ref, now);
+}
+
+void scheduler::stop_answered(const worker::stop_order& order, worker::order_outcome outcome,
+                              steady_time now)
+{
+    task_ref ref;
+    server_state* server = find_server(order.server);
+    if (server == nullptr)
+    {
+        return;
+    }
+    if (outcome == worker::order_outcome::other_server)
+    {
+        server_gone(order.server, order.server_born, now);
+        return;
+    }
+    if (outcome != worker::order_outcome::accepted || !find_task(order.task, ref))
+    {
+        return;
+    }
+    task_state& task = ref.task();
+    if (task.server == server && task.run == order.run && task.phase == task_phase::starting)
+    {
+        task.phase = task_phase::unresolved;
+        task.resolve_after = now;
+    }
+}
+
+std::vector<worker::stop_order> scheduler::take_stops(steady_time now)
+{
+    std::vector<worker::stop_order> orders;
+    std::vector<task_ref> open;
+    for (const task_ref& ref : stops_)
+    {
+        task_state& task = ref.task();
+        if (!task.stop_wanted || task.server == nullptr)
+        {
+            continue;
+        }
+        const bool listed_twice = std::find(open.begin(), open.end(), ref) != open.end();
+        if (listed_twice)
+        {
+            continue;
+        }
+        open.push_back(ref);
+        if (now - task.stop_sent < settings_.stop_repeat)
+        {
+            continue;
+        }
+        task.stop_sent = now;
+        const worker::server& info = task.server->info;
+        orders.push_back(
+            {info.id, info.born, info.where, {ref.job->record.id, ref.position()}, task.run});
+    }
+    stops_ = std::move(open);
+    for (auto entry = foreign_.begin(); entry != foreign_.end();)
+    {
+        const server_state* server = find_server(entry->first.first);
+        if (server == nullptr)
+        {
+            entry = foreign_.erase(entry);
+            continue;
+        }
+        if (now - entry->second.second >= settings_.stop_repeat)
+        {
+            entry->second.second = now;
+            orders.push_back({server->info.id, server->info.born, server->info.where,
+                              entry->first.second, entry->second.first});
+        }
+        ++entry;
+    }
+    return orders;
+}
+
+std::vector<advice_request> scheduler::take_advice_requests()
+{
+    return std::exchange(questions_, {});
+}
+
+void scheduler::advice_answered(const advice_request& request, bool answered,
+                                const std::vector<std::pair<std::string, std::string>>& tickets,
+                                milliseconds validity, steady_time now)
+{
+    task_ref ref;
+    if (!find_task(request.task, ref))
+    {
+        return;
+    }
+    step_state& step = ref.steps();
+    step.asking_advice = false;
+    plan_needed_ = true;
+    if (!answered)
+    {
+        return;
+    }
+    step.advised.insert(request.servers.begin(), request.servers.end());
+    for (const std::pair<std::string, std::string>& entry : tickets)
+    {
+        const server_state* server = find_server(entry.first);
+        if (server != nullptr)
+        {
+            step.tickets[entry.first] = {server->info.born, entry.second, now + validity};
+        }
+    }
+}
+
+} // namespace lacewingquay::scheduler
--- a/src/scheduler/state.hpp
+++ b/src/scheduler/state.hpp
@@ -58,6 +58,13 @@
     bool at_work = false;
 };
 
+/// True if the latest run may be on a server.
+[[nodiscard]] inline bool has_run(const task_state& task)
+{
+    return task.phase == task_phase::starting || task.phase == task_phase::running ||
+           task.phase == task_phase::unresolved;
+}
+
 /// Permission to run a step on one server.
 struct ticket
 {
--- a/tests/scheduler/scheduler_test.cpp
+++ b/tests/scheduler/scheduler_test.cpp
@@ -13,6 +13,17 @@
 
 constexpr job::resources host_capacity{8'000, 16'000, 0};
 
+worker::server make_server(const std::string& id, const std::string& machine = "")
+{
+    worker::server info;
+    info.id = id;
+    info.machine = machine;
+    info.pool = "pool";
+    info.born = 1;
+    info.capacity = host_capacity;
+    return info;
+}
+
 fault_rates all_faults()
 {
     fault_rates rates;
@@ -98,12 +109,7 @@
     // task while the first could still be carried out (found by the property above, seed 50).
     scheduler::scheduler owner{scheduler::settings{}};
     const steady_time now{std::chrono::hours(1)};
-    worker::server info;
-    info.id = "s";
-    info.pool = "pool";
-    info.born = 1;
-    info.capacity = host_capacity;
-    owner.update_server(info, now);
+    owner.update_server(make_server("s"), now);
     owner.add_job(make_job("a", 1, 1, 1'000, milliseconds(500)), nullptr, milliseconds(0), now);
     owner.not_stored(owner.prepare(now, 10));
     owner.advance(now + milliseconds(50), wall_time{}, milliseconds(0));
@@ -189,12 +195,7 @@
     // The last list shows percent 0; the task may be at full speed by now.
     scheduler::scheduler owner{scheduler::settings{}};
     const steady_time now{std::chrono::hours(1)};
-    worker::server info;
-    info.id = "s";
-    info.machine = "m";
-    info.pool = "pool";
-    info.born = 1;
-    info.capacity = host_capacity;
+    const worker::server info = make_server("s", "m");
     owner.update_server(info, now);
     job::record record = make_job("lasting", 1, 2, 1'000, milliseconds(500));
     record.work.steps.front().long_running = true;
@@ -222,12 +223,7 @@
     // Guards against a machine being taken for idle by the registration of its ended life.
     scheduler::scheduler owner{scheduler::settings{}};
     const steady_time now{std::chrono::hours(1)};
-    worker::server info;
-    info.id = "old";
-    info.machine = "m";
-    info.pool = "pool";
-    info.born = 1;
-    info.capacity = host_capacity;
+    const worker::server info = make_server("old", "m");
     owner.update_server(info, now);
     worker::server next = info;
     next.id = "new";
@@ -270,12 +266,7 @@
     stored.tasks.push_back({{0, 0, 0}, false, 1, 1, 1, "", 0, ""});
     scheduler::scheduler owner{scheduler::settings{}};
     const steady_time now{std::chrono::hours(1)};
-    worker::server info;
-    info.id = "s";
-    info.pool = "pool";
-    info.born = 1;
-    info.capacity = host_capacity;
-    owner.update_server(info, now);
+    owner.update_server(make_server("s"), now);
     owner.add_job(record, &stored, milliseconds(0), now);
     worker::report report;
     report.born = 1;
@@ -324,12 +315,7 @@
     const steady_time now{std::chrono::hours(1)};
     for (const char* id : {"s0", "s1"})
     {
-        worker::server info;
-        info.id = id;
-        info.pool = "pool";
-        info.born = 1;
-        info.capacity = host_capacity;
-        owner.update_server(info, now);
+        owner.update_server(make_server(id), now);
     }
     job::record record = make_job("a", 1, 2, 1'000, milliseconds(500));
     record.queue.has_advice = true;
@@ -377,12 +363,7 @@
 {
     scheduler::scheduler owner{scheduler::settings{}};
     const steady_time now{std::chrono::hours(1)};
-    worker::server info;
-    info.id = "s";
-    info.pool = "pool";
-    info.born = 1;
-    info.capacity = host_capacity;
-    owner.update_server(info, now);
+    owner.update_server(make_server("s"), now);
     job::record record = make_job("a", 1, 1, 1'000, milliseconds(500));
     record.work.times = {2, 10'000, milliseconds(5'000)};
     owner.add_job(record, nullptr, milliseconds(0), now);
