Satisfy the linter: ordering of task names by tuples, references in handlers

clang-tidy takes the defaulted three-way comparison of an aggregate for a null pointer; two comparisons stand in its place. No behaviour changes.

--- a/src/job/progress.hpp
+++ b/src/job/progress.hpp
@@ -7,6 +7,7 @@
 
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace lacewingquay::job
@@ -19,7 +20,13 @@
     int step = 0;
     int index = 0;
 
-    friend auto operator<=>(const task_position&, const task_position&) = default;
+    friend bool operator==(const task_position&, const task_position&) = default;
+
+    friend bool operator<(const task_position& left, const task_position& right)
+    {
+        return std::tie(left.occurrence, left.step, left.index) <
+               std::tie(right.occurrence, right.step, right.index);
+    }
 };
 
 /// What is stored of a task that has been started or has ended.
--- a/src/manager/daemon.cpp
+++ b/src/manager/daemon.cpp
@@ -60,12 +60,12 @@
                           http::server::listen(io_.get_executor(), shared_.config.callers, limits,
                                                [this](http::request received)
                                                { return answer_caller(std::move(received)); }));
-        BOOST_LEAF_ASSIGN(readiness_,
-                          http::server::listen(io_.get_executor(), shared_.config.readiness, limits,
-                                               [this](http::request) { return answer_ready(); }));
-        BOOST_LEAF_ASSIGN(scraper_,
-                          http::server::listen(io_.get_executor(), shared_.config.metrics, limits,
-                                               [this](http::request) { return answer_metrics(); }));
+        BOOST_LEAF_ASSIGN(readiness_, http::server::listen(
+                                          io_.get_executor(), shared_.config.readiness, limits,
+                                          [this](const http::request&) { return answer_ready(); }));
+        BOOST_LEAF_ASSIGN(scraper_, http::server::listen(
+                                        io_.get_executor(), shared_.config.metrics, limits,
+                                        [this](const http::request&) { return answer_metrics(); }));
         log_event(log_level::info, "started",
                   {{"zone", shared_.config.availability_zone},
                    {"callers", shared_.config.callers.text()},
--- a/src/worker/model.hpp
+++ b/src/worker/model.hpp
@@ -7,6 +7,8 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace lacewingquay::worker
@@ -42,7 +44,12 @@
     std::string job;
     job::task_position position;
 
-    friend auto operator<=>(const task_name&, const task_name&) = default;
+    friend bool operator==(const task_name&, const task_name&) = default;
+
+    friend bool operator<(const task_name& left, const task_name& right)
+    {
+        return std::tie(left.job, left.position) < std::tie(right.job, right.position);
+    }
 };
 
 /// How a run ended.
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -49,6 +49,7 @@
 {
     planner core{planner_settings{}};
     std::vector<machine_view> machines;
+    machines.reserve(6);
     for (int index = 0; index < 6; ++index)
     {
         machines.push_back(idle_machine("q" + std::to_string(index), "quiet"));
@@ -65,6 +66,7 @@
 {
     planner core{planner_settings{}};
     std::vector<machine_view> machines;
+    machines.reserve(4);
     for (int index = 0; index < 4; ++index)
     {
         machines.push_back(idle_machine("q" + std::to_string(index), "quiet"));
