--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -62,9 +62,9 @@
 std::vector<command> all_commands()
 {
     using namespace lacewingquay;
-    std::vector<command> commands{{"entry", "the daemon of an entry host", entry::run_entry},
-                                  {"manage", "the daemon of an entry host on the users' platform",
-                                   manager::run_manager}};
+    std::vector<command> commands{
+        {"entry", "the daemon of an entry host", entry::run_entry},
+        {"manage", "the daemon of an entry host on the users' platform", manager::run_manager}};
     for (const std::span<const command> table :
          {cli::note_command_table(), cli::pool_command_table(), cli::preset_command_table(),
           cli::report_command_table()})
