Turn callers to other hosts while this host alone has lost the store

Change: hosts tell their zone and readiness address in the row that names their strength. A host that has lost the store for 0.3 s asks two hosts of other zones; if one reaches the store, or none answers, it reports itself as not ready until the store is back. If the others have lost it too, the store is down, and the host stays in rotation.

--- a/src/manager/context.hpp
+++ b/src/manager/context.hpp
@@ -3,6 +3,7 @@
 #include "core/clock.hpp"
 #include "http/connection_pool.hpp"
 #include "manager/configuration.hpp"
+#include "manager/isolation.hpp"
 #include "manager/job_cache.hpp"
 #include "manager/load_summary.hpp"
 #include "manager/metrics.hpp"
@@ -15,6 +16,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -89,6 +91,10 @@
     steady_time store_clock_read{};
     /// The store has not answered since this time; unset while it answers.
     bool store_away = false;
+    /// The store is away for this host and not for all.
+    bool cut_off = false;
+    /// All entry hosts that have told what they are, by name.
+    std::map<std::string, host_record> hosts;
     steady_time store_away_since{};
     bool stopping = false;
 };
--- a/src/manager/daemon.cpp
+++ b/src/manager/daemon.cpp
@@ -38,6 +38,13 @@
 /// Bounds of one wait for a change there. It ends when this host might have to take over.
 constexpr milliseconds shortest_owner_wait{20};
 constexpr milliseconds longest_owner_wait{700};
+/// Between checks whether this host alone has lost the store, and the time without the store before
+/// the first: a lost connection is replaced within some milliseconds.
+constexpr milliseconds isolation_interval{250};
+constexpr milliseconds isolation_patience{300};
+/// Other hosts asked in one check, and the time for an answer on the platform's own network.
+constexpr std::size_t asked_peers = 2;
+constexpr milliseconds peer_timeout{300};
 /// Between attempts to store what this host can do.
 constexpr milliseconds announcement_pause{500};
 /// Kept back from the stop's grace period.
@@ -72,7 +79,8 @@
                    {"store", shared_.config.store.text()}});
         front_.start();
         spawn([this] { return follow_operator(); });
-        spawn([this] { return announce_strength(); });
+        spawn([this] { return announce_host(); });
+        spawn([this] { return watch_isolation(); });
         spawn([this] { return follow_owner(); });
         spawn([this] { return watch_signals(); });
         io_.run();
@@ -107,13 +115,15 @@
 
     [[nodiscard]] bool is_ready() const
     {
-        return shared_.current && shared_.owner.is_loaded() && !shared_.stopping;
+        return shared_.current && shared_.owner.is_loaded() && !shared_.stopping &&
+               !shared_.cut_off;
     }
 
     boost::asio::awaitable<http::response> answer_ready()
     {
-        co_return http::make_response(
-            is_ready() ? http::status::ok : http::status::service_unavailable, "{}");
+        co_return http::make_response(is_ready() ? http::status::ok
+                                                 : http::status::service_unavailable,
+                                      serialize_readiness(!shared_.store_away));
     }
 
     void apply_operator(const std::vector<adapter::row>& rows)
@@ -226,13 +236,13 @@
             }
             else if (row.key.starts_with(host_prefix))
             {
-                const std::optional<host_strength> strength =
-                    parse_or_log("host_unreadable", row.key, row.version,
-                                 [&] { return parse_strength(row.value); });
-                if (strength)
+                std::optional<host_record> host = parse_or_log(
+                    "host_unreadable", row.key, row.version, [&] { return parse_host(row.value); });
+                if (host)
                 {
                     shared_.owner.observe_host(std::string_view(row.key).substr(host_prefix.size()),
-                                               *strength);
+                                               host->strength);
+                    shared_.hosts[row.key.substr(host_prefix.size())] = std::move(*host);
                 }
             }
         }
@@ -275,13 +285,14 @@
         co_await follow_table(shared_, std::move(feed));
     }
 
-    /// Stores what this host can do, for the choice of the owner.
-    boost::asio::awaitable<void> announce_strength()
+    /// Tells the other hosts what this one is.
+    boost::asio::awaitable<void> announce_host()
     {
         adapter::transaction work;
-        work.writes.push_back({std::string(owner_table),
-                               std::string(host_prefix) + shared_.config.host,
-                               serialize_strength(shared_.config.strength)});
+        work.writes.push_back(
+            {std::string(owner_table), std::string(host_prefix) + shared_.config.host,
+             serialize_host({shared_.config.strength, shared_.config.availability_zone,
+                             shared_.config.readiness})});
         bool stored = false;
         while (!stored)
         {
@@ -295,6 +306,43 @@
         }
     }
 
+    /// Asks another host how it sees the store.
+    boost::asio::awaitable<peer_view> ask_peer(address where)
+    {
+        const http::exchange_result exchange = co_await shared_.connections.call(
+            where, http::make_request(http::method::get, "/", ""), peer_timeout);
+        co_return exchange.answer ? parse_readiness(exchange.answer->body()) : peer_view::no_answer;
+    }
+
+    /// While the store is away, finds out whether this host alone has lost it. Callers are turned
+    /// to other hosts then.
+    boost::asio::awaitable<void> watch_isolation()
+    {
+        for (std::size_t round = 0;; ++round)
+        {
+            co_await pause(shared_, isolation_interval);
+            bool cut_off = false;
+            if (shared_.store_away &&
+                shared_.now() - shared_.store_away_since >= isolation_patience)
+            {
+                std::vector<peer_view> answers;
+                for (const address& peer :
+                     choose_peers(shared_.hosts, shared_.config.host,
+                                  shared_.config.availability_zone, asked_peers, round))
+                {
+                    answers.push_back(co_await ask_peer(peer));
+                }
+                cut_off = shared_.store_away && is_cut_off(answers);
+            }
+            if (cut_off != shared_.cut_off)
+            {
+                shared_.cut_off = cut_off;
+                log_event(log_level::warning, cut_off ? "cut_off" : "cut_off_ended",
+                          {{"hosts_known", shared_.hosts.size()}});
+            }
+        }
+    }
+
     void consider_takeover()
     {
         if (session_ && session_->ended())
--- a/src/manager/ownership.cpp
+++ b/src/manager/ownership.cpp
@@ -31,22 +31,6 @@
     return result;
 }
 
-std::string serialize_strength(const host_strength& value)
-{
-    return boost::json::serialize(
-        boost::json::object{{"cores", value.cores}, {"link_mbit", value.link_mbit}});
-}
-
-boost::leaf::result<host_strength> parse_strength(std::string_view text)
-{
-    BOOST_LEAF_AUTO(body, parse_json_object(text, "host"));
-    json_reader reader(body, "host");
-    host_strength result;
-    BOOST_LEAF_ASSIGN(result.cores, reader.number("cores", 0.0, 1e6));
-    BOOST_LEAF_ASSIGN(result.link_mbit, reader.number("link_mbit", 0.0, 1e9));
-    return result;
-}
-
 ownership::ownership(ownership_settings values, std::string host, host_strength own)
     : settings_(values), host_(std::move(host)), own_(own), strongest_(own), hosts_{host_}
 {
--- a/src/manager/ownership.hpp
+++ b/src/manager/ownership.hpp
@@ -37,9 +37,6 @@
     double link_mbit = 1'000.0;
 };
 
-[[nodiscard]] std::string serialize_strength(const host_strength& value);
-[[nodiscard]] boost::leaf::result<host_strength> parse_strength(std::string_view text);
-
 /// Settings of `ownership`.
 struct ownership_settings
 {
--- a/tests/manager/manager_test.cpp
+++ b/tests/manager/manager_test.cpp
@@ -1,5 +1,6 @@
 #include "core/parse_or_log.hpp"
 #include "manager/configuration.hpp"
+#include "manager/isolation.hpp"
 #include "manager/job_cache.hpp"
 #include "manager/load_summary.hpp"
 #include "manager/ownership.hpp"
@@ -240,3 +241,48 @@
     CHECK(config.find_queue("h", "/a/c")->pool == "p1");
     CHECK(config.find_queue("g", "/a/c") == nullptr);
 }
+
+TEST_CASE("a host that lost the store turns callers away only if others can serve them",
+          "[manager]")
+{
+    // Guards against hosts of a cut zone that stay in rotation and refuse all jobs (scale-2 of
+    // halrek-quay-grown), and against a store outage that takes all hosts out of rotation.
+    using enum peer_view;
+    CHECK(is_cut_off(std::vector{store_answers, no_answer}));
+    CHECK(is_cut_off(std::vector{store_away, store_answers}));
+    CHECK(is_cut_off(std::vector{no_answer, no_answer}));
+    CHECK_FALSE(is_cut_off(std::vector{store_away, store_away}));
+    CHECK_FALSE(is_cut_off(std::vector{store_away, no_answer}));
+    CHECK_FALSE(is_cut_off(std::vector<peer_view>{}));
+    CHECK(parse_readiness(serialize_readiness(true)) == store_answers);
+    CHECK(parse_readiness(serialize_readiness(false)) == store_away);
+    CHECK(parse_readiness("not JSON") == no_answer);
+    CHECK(parse_readiness(R"({"store_answers":1})") == no_answer);
+}
+
+TEST_CASE("a host asks hosts of other availability zones, and others in each round", "[manager]")
+{
+    // A zone is cut off as a whole, so hosts of the same zone know no more.
+    const auto where = [](std::uint16_t port)
+    {
+        return address{"10.0.0.1", port};
+    };
+    std::map<std::string, host_record> hosts{{"a1", {{}, "a", where(1)}},
+                                             {"a2", {{}, "a", where(2)}},
+                                             {"b1", {{}, "b", where(3)}},
+                                             {"b2", {{}, "b", where(4)}},
+                                             {"c1", {{}, "c", where(5)}}};
+    std::set<std::uint16_t> asked;
+    for (std::size_t round = 0; round < 3; ++round)
+    {
+        const std::vector<address> chosen = choose_peers(hosts, "a1", "a", 2, round);
+        CHECK(chosen.size() == 2);
+        for (const address& peer : chosen)
+        {
+            asked.insert(peer.port);
+        }
+    }
+    CHECK(asked == std::set<std::uint16_t>{3, 4, 5});
+    CHECK(choose_peers({{"a1", hosts["a1"]}, {"a2", hosts["a2"]}}, "a1", "a", 2, 0).size() == 1);
+    CHECK(choose_peers({{"a1", hosts["a1"]}}, "a1", "a", 2, 0).empty());
+}
