--- a/src/manager/session_orders.cpp
+++ b/src/manager/session_orders.cpp
@@ -166,7 +166,8 @@
         }
         const bool has_work = !server->tasks.empty() || server->ends_stored > acknowledged ||
                               !server->fenced || server->unanswered > 0;
-        if (!has_work)
+        // A server that only a stored run names has no address until it registers.
+        if (!has_work || server->info.where.port == 0)
         {
             timer->expires_after(server->registered ? milliseconds(2'000) : milliseconds(500));
             co_await timer->async_wait(waiting);
