Do not take a confirmed order on a machine for the end of its present server

Cause: the platform also confirms a move or maintenance that it has carried out before. A new owner, whose predecessor was cut off before it stored the maintenance of a machine, ordered it again; the confirmation ended the machine's new server in the owner's view. Change: after a confirmed maintenance, and whenever runs are left, the server is called. It counts as ended if another one or a later incarnation answers; runs of a server that does not answer wait for the end of their lease. Test: fleet 'a confirmed order ends a server only if the server has ended' (the decision did not exist before).

--- a/src/manager/fleet_controller.hpp
+++ b/src/manager/fleet_controller.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/model.hpp"
+#include "fleet/order_effect.hpp"
 #include "fleet/planner.hpp"
 #include "fleet/wave_plan.hpp"
 #include "manager/context.hpp"
@@ -92,6 +93,11 @@
     boost::asio::awaitable<void> order(order_kind kind, std::string machine, std::string pool,
                                        std::int64_t wave);
     boost::asio::awaitable<void> store_wave(std::int64_t number);
+    /// Handles the backend server that ran on the machine when a now confirmed order was sent.
+    boost::asio::awaitable<void> apply_confirmed_order(order_kind kind, std::string machine);
+    /// Calls that server to learn whether the order has ended it.
+    boost::asio::awaitable<fleet::order_effect> check_former_server(std::string id,
+                                                                    std::int64_t born);
     void detect_arrivals();
     void cancel_order(const std::string& machine);
     void drain(const std::string& machine, const std::string& pool, steady_time now);
--- a/src/manager/fleet_controller_orders.cpp
+++ b/src/manager/fleet_controller_orders.cpp
@@ -18,6 +18,8 @@
 constexpr std::string_view orders_key = "orders";
 /// Orders are answered within milliseconds; a later answer counts as lost.
 constexpr milliseconds order_timeout{900};
+/// Timeout of the call that checks whether a server has ended after an order.
+constexpr milliseconds check_timeout{400};
 /// Safety margin on the machine lease between the orders of two owners.
 constexpr milliseconds takeover_margin{400};
 
@@ -170,6 +172,74 @@
     planned_orders_.push_back(name);
 }
 
+boost::asio::awaitable<fleet::order_effect> fleet_controller::check_former_server(std::string id,
+                                                                                  std::int64_t born)
+{
+    const std::shared_ptr<fleet_controller> self = shared_from_this();
+    scheduler::server_state* server = owner_->job_scheduler().find_server(id);
+    if (server == nullptr || server->info.endpoint.port == 0)
+    {
+        co_return fleet::order_effect::unknown;
+    }
+    adapter::hold_call call;
+    call.server = id;
+    call.where = server->info.endpoint;
+    call.fencing_token = owner_->term();
+    call.acknowledged_ends = server->ends_stored;
+    const adapter::hold_result result = co_await shared_.workers.hold(call, check_timeout);
+    std::optional<std::int64_t> reported_born;
+    if (result.outcome == worker::order_outcome::accepted)
+    {
+        reported_born = result.report->born;
+    }
+    co_return fleet::effect_of_order(born, reported_born,
+                                     result.outcome == worker::order_outcome::other_server);
+}
+
+boost::asio::awaitable<void> fleet_controller::apply_confirmed_order(order_kind kind,
+                                                                     std::string machine)
+{
+    const std::shared_ptr<fleet_controller> self = shared_from_this();
+    scheduler::scheduler& jobs = owner_->job_scheduler();
+    const std::string id = machines_[machine].former_server;
+    const std::int64_t born = machines_[machine].former_born;
+    const auto has_runs = [&]
+    {
+        const scheduler::server_state* server = jobs.find_server(id);
+        return server != nullptr && !server->tasks.empty();
+    };
+    fleet::order_effect effect = fleet::order_effect::unknown;
+    // An idle machine that moves is not worth a call: if it has not moved, its registration shows
+    // so.
+    if (kind == order_kind::maintain || has_runs())
+    {
+        effect = co_await check_former_server(id, born);
+    }
+    if (owner_->ended())
+    {
+        co_return;
+    }
+    if (effect == fleet::order_effect::already_done)
+    {
+        log_event(log_level::info, "machine_order_done_before", {{"machine", machine}});
+        const auto found = machines_.find(machine);
+        if (found != machines_.end())
+        {
+            found->second.listed.state = fleet::machine_state::up;
+            cancel_order(machine);
+        }
+    }
+    else if (effect == fleet::order_effect::ended || !has_runs())
+    {
+        jobs.end_incarnation(id, born, shared_.now());
+    }
+    else
+    {
+        // The runs may go on until their lease has expired.
+        jobs.remove_server(id, shared_.now());
+    }
+}
+
 boost::asio::awaitable<void> fleet_controller::order(order_kind kind, std::string machine,
                                                      std::string pool, std::int64_t wave)
 {
@@ -196,16 +266,15 @@
     if (outcome == adapter::machine_outcome::done)
     {
         entry.confirmed = true;
-        if (!entry.former_server.empty())
-        {
-            owner_->job_scheduler().end_incarnation(entry.former_server, entry.former_born,
-                                                    shared_.now());
-        }
         if (kind == order_kind::maintain)
         {
             entry.draining_for_wave = 0;
             waves_[wave].done.insert(machine);
             entry.listed.state = fleet::machine_state::maintenance;
+        }
+        co_await apply_confirmed_order(kind, machine);
+        if (kind == order_kind::maintain && !owner_->ended())
+        {
             co_await store_wave(wave);
         }
         co_return;
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -1,3 +1,4 @@
+#include "fleet/order_effect.hpp"
 #include "fleet/planner.hpp"
 #include "fleet/wave_plan.hpp"
 
@@ -236,3 +237,15 @@
     CHECK(early.drain.size() < late.drain.size());
     CHECK(late.drain.size() == 8);
 }
+
+TEST_CASE("a confirmed order ends a server only if the server has ended", "[fleet]")
+{
+    // Guards against two runs of one task (the known red day trouble-1 of mabwysiadu-sw-grown): a
+    // new owner repeated a maintenance that a former one had ordered. The platform confirmed it
+    // without doing anything, and the runs there were repeated elsewhere while they went on.
+    constexpr std::int64_t born = 1'000;
+    CHECK(effect_of_order(born, born, false) == order_effect::already_done);
+    CHECK(effect_of_order(born, born + 2'500, false) == order_effect::ended);
+    CHECK(effect_of_order(born, std::nullopt, true) == order_effect::ended);
+    CHECK(effect_of_order(born, std::nullopt, false) == order_effect::unknown);
+}
