Accept jobs that will be late but still of use

Cause: a job that could not be on time was refused, although up to three times its allowed time it is of use to its caller, and a turn's capacity is free some seconds after its peak. Change: the owner also publishes the backlog with late work; a job is refused if it could neither be on time nor end within 2.5 times its allowed time behind all work that is still of use.

--- a/src/manager/load_summary.cpp
+++ b/src/manager/load_summary.cpp
@@ -32,9 +32,11 @@
         boost::json::array levels;
         for (const std::pair<const int, scheduler::backlog>& level : entry.second)
         {
-            levels.emplace_back(boost::json::object{{"priority", level.first},
-                                                    {"drain_ms", level.second.drain.count()},
-                                                    {"cpu", level.second.cpu}});
+            levels.emplace_back(
+                boost::json::object{{"priority", level.first},
+                                    {"drain_ms", level.second.drain.count()},
+                                    {"cpu", level.second.cpu},
+                                    {"useful_drain_ms", level.second.useful_drain.count()}});
         }
         pools[entry.first] = std::move(levels);
     }
@@ -74,8 +76,11 @@
             BOOST_LEAF_AUTO(priority, backlog.integer("priority", -1'000, 1'000));
             BOOST_LEAF_AUTO(drain, backlog.integer("drain_ms", 0, max_value));
             BOOST_LEAF_AUTO(cpu, backlog.integer("cpu", 0, max_value));
+            // Hosts of an earlier version do not store this field.
+            BOOST_LEAF_AUTO(useful_drain,
+                            backlog.integer_or("useful_drain_ms", drain, 0, max_value));
             result.load.pools[std::string(entry.key())][static_cast<int>(priority)] = {
-                milliseconds(drain), cpu};
+                milliseconds(drain), cpu, milliseconds(useful_drain)};
         }
     }
     return result;
--- a/src/scheduler/admission.cpp
+++ b/src/scheduler/admission.cpp
@@ -24,11 +24,16 @@
     {
         return {};
     }
-    const milliseconds max_time(
-        static_cast<std::int64_t>(static_cast<double>(allowed_time(work, queue).count()) *
-                                  settings_.max_allowed_time_factor));
+    const auto allowed_times = [&](double factor)
+    {
+        return milliseconds(static_cast<std::int64_t>(
+            static_cast<double>(allowed_time(work, queue).count()) * factor));
+    };
+    const milliseconds max_time = allowed_times(settings_.max_allowed_time_factor);
     const milliseconds expected_time = load.drain + longest_chain(work);
-    if (load.cpu <= 0 || expected_time <= max_time)
+    const bool can_be_useful =
+        load.useful_drain + longest_chain(work) <= allowed_times(settings_.max_useful_time_factor);
+    if (load.cpu <= 0 || expected_time <= max_time || can_be_useful)
     {
         if (load.cpu <= 0 || expected_time <= max_time / 2)
         {
--- a/src/scheduler/admission.hpp
+++ b/src/scheduler/admission.hpp
@@ -8,9 +8,10 @@
 #include <map>
 #include <string>
 
-/// Admission control: refuses jobs that could not finish on time. Jobs that can be on time are
-/// scheduled before those that cannot, so a job that arrives when the backlog of its pool exceeds
-/// its allowed time would wait until the overload has ended.
+/// Admission control: refuses jobs that would finish too late to be of use. Jobs that can be on
+/// time are scheduled before those that cannot, so a job that arrives when the backlog of its pool
+/// exceeds its allowed time is served on the capacity that is left, in bursts of some seconds often
+/// soon after the peak.
 namespace lacewingquay::scheduler
 {
 
@@ -19,9 +20,13 @@
 /// Settings of `admission_control`.
 struct admission_settings
 {
-    /// A job is refused if it would need more than this multiple of its allowed time. Leaves room
-    /// for declared estimates, which are off by up to half.
+    /// A job is on time if it is expected to need at most this multiple of its allowed time. Leaves
+    /// room for declared estimates, which are off by up to half.
     double max_allowed_time_factor = 1.5;
+    /// A job that cannot be on time is refused if, behind all work that is still of use, it would
+    /// need more than this multiple of its allowed time. Less than the multiple at which it is too
+    /// late to be of use, which leaves room for the jobs on time that arrive later.
+    double max_useful_time_factor = 2.5;
     /// Lower bound of the retry time given to callers; `Retry-After` has a resolution of 1 s.
     milliseconds min_retry_after{1'000};
     /// Upper bound of it; bursts last some seconds.
--- a/src/scheduler/load.hpp
+++ b/src/scheduler/load.hpp
@@ -24,16 +24,21 @@
     milliseconds drain{0};
     /// CPU that does this work, in thousandths of a core; zero if there is no such work.
     std::int64_t cpu = 0;
+    /// As `drain`, with the work that will be late but still of use to its callers.
+    milliseconds useful_drain{0};
 
     friend bool operator==(const queue_load&, const queue_load&) = default;
 };
 
-/// Work of one pool that can still be on time, cumulated over all queues up to one priority.
+/// Work of one pool, cumulated over all queues up to one priority.
 struct backlog
 {
+    /// Time in which the work that can still be on time is completed.
     milliseconds drain{0};
     /// CPU that does this work, in thousandths of a core.
     std::int64_t cpu = 0;
+    /// As `drain`, with the work that will be late but still of use.
+    milliseconds useful_drain{0};
 
     friend bool operator==(const backlog&, const backlog&) = default;
 };
--- a/src/scheduler/scheduler_load.cpp
+++ b/src/scheduler/scheduler_load.cpp
@@ -9,11 +9,18 @@
 namespace
 {
 
+/// Outstanding work in core seconds.
+struct work_amount
+{
+    double on_time = 0.0;
+    /// Work that can be on time or late but of use.
+    double useful = 0.0;
+};
+
 /// Outstanding work and capacity of one pool.
 struct pool_work
 {
-    /// Core seconds of work, by queue priority.
-    std::map<int, double> by_priority;
+    std::map<int, work_amount> by_priority;
     /// Cores that are not reserved by long-running tasks.
     double cores = 0.0;
 };
@@ -82,6 +89,7 @@
             {
                 result.drain = entry.second.drain;
                 result.cpu = entry.second.cpu;
+                result.useful_drain = entry.second.useful_drain;
             }
         }
     }
@@ -122,25 +130,33 @@
         {
             const milliseconds slack = std::chrono::duration_cast<milliseconds>(
                 occurrence.due + job.allowed - now - remaining_chain(job, occurrence));
-            if (slack >= settings_.scheduling_delay)
+            if (slack + job.allowed * settings_.useful_lateness_factor < settings_.scheduling_delay)
             {
-                pools[job.queue.pool].by_priority[job.queue.priority] +=
-                    remaining_work(job, occurrence);
+                continue;
             }
+            const double work = remaining_work(job, occurrence);
+            work_amount& amount = pools[job.queue.pool].by_priority[job.queue.priority];
+            amount.useful += work;
+            amount.on_time += slack >= settings_.scheduling_delay ? work : 0.0;
         }
     }
     for (const auto& entry : pools)
     {
         const double cores = entry.second.cores + to_cores(spare_cpu_);
-        double work = 0.0;
-        for (const std::pair<const int, double>& amount : entry.second.by_priority)
+        const auto time_for = [cores](double work)
+        {
+            return milliseconds(static_cast<std::int64_t>(work / cores * 1'000.0));
+        };
+        work_amount work;
+        for (const std::pair<const int, work_amount>& amount : entry.second.by_priority)
         {
-            work += amount.second;
-            if (work > 0.0 && cores > 0.0)
+            work.on_time += amount.second.on_time;
+            work.useful += amount.second.useful;
+            if (work.useful > 0.0 && cores > 0.0)
             {
                 result.pools[entry.first][amount.first] = {
-                    milliseconds(static_cast<std::int64_t>(work / cores * 1'000.0)),
-                    static_cast<std::int64_t>(cores * 1'000.0)};
+                    time_for(work.on_time), static_cast<std::int64_t>(cores * 1'000.0),
+                    time_for(work.useful)};
             }
         }
     }
