Size pools by memory as well, and drain machines with long-running tasks first in a wave

Cause: pools were sized by processors alone. Change: a pool's demand is the larger of processors and memory; a long-running task without room always calls for another machine; a closed server counts as capacity for its own runs only; a wave drains machines with long-running tasks at the pace of half its time. Tests: fleet 'a pool whose tasks fill the memory ...', 'a wave drains machines with long-running tasks ...', scheduler 'a long-running task without room ...', 'a closed server counts ...'.

--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -41,10 +41,9 @@
     forbidden_.insert({machine, pool});
 }
 
-std::int64_t planner::growth(const pool_view& pool, steady_time now)
+std::int64_t planner::growth(const pool_view& pool, std::int64_t demand, steady_time now)
 {
     std::deque<sample>& samples = history_[pool.name];
-    const std::int64_t demand = pool.running_cpu + pool.waiting_cpu;
     samples.push_back({now, demand});
     while (samples.size() > 1 && samples.front().at + settings_.growth_window < now)
     {
@@ -67,9 +66,11 @@
                                                     steady_time now)
 {
     std::int64_t machine_cpu = 1;
+    std::int64_t machine_memory = 1;
     for (const machine_view& machine : machines)
     {
         machine_cpu = std::max(machine_cpu, machine.cpu);
+        machine_memory = std::max(machine_memory, machine.memory);
     }
     std::vector<pool_plan> plans;
     for (const pool_view& pool : pools)
@@ -78,7 +79,10 @@
         {
             continue;
         }
-        const std::int64_t demand = pool.running_cpu + pool.waiting_cpu + growth(pool, now);
+        // Tasks that need much memory fill machines whose processors are not in use.
+        const std::int64_t cpu_for_memory = pool.demand_memory * machine_cpu / machine_memory;
+        const std::int64_t present = std::max(pool.running_cpu + pool.waiting_cpu, cpu_for_memory);
+        const std::int64_t demand = present + growth(pool, present, now);
         pool_plan plan;
         plan.view = &pool;
         plan.target = static_cast<std::int64_t>(static_cast<double>(demand) * settings_.headroom) +
--- a/src/fleet/planner.hpp
+++ b/src/fleet/planner.hpp
@@ -42,6 +42,8 @@
     std::string name;
     std::string pool;
     std::int64_t cpu = 0;
+    /// Memory in MiB.
+    std::int64_t memory = 0;
     /// Serving, or powered off in a standby pool; false while it moves or is in maintenance.
     bool available = false;
     /// Without runs and able to take orders, and for how long.
@@ -62,6 +64,8 @@
     /// Demand of running and of waiting tasks, in thousandths of a processor core.
     std::int64_t running_cpu = 0;
     std::int64_t waiting_cpu = 0;
+    /// Memory of running and of waiting tasks together, in MiB.
+    std::int64_t demand_memory = 0;
     /// Capacity in the same unit: of serving machines, and of those moving in or returning from
     /// maintenance.
     std::int64_t capacity_cpu = 0;
@@ -112,7 +116,7 @@
     [[nodiscard]] const machine_view*
     choose_machine_to_drain(std::span<const machine_view> machines, const pool_plan& to,
                             std::span<const pool_plan> plans) const;
-    [[nodiscard]] std::int64_t growth(const pool_view& pool, steady_time now);
+    [[nodiscard]] std::int64_t growth(const pool_view& pool, std::int64_t demand, steady_time now);
 
     planner_settings settings_;
     std::map<std::string, std::deque<sample>> history_;
--- a/src/fleet/wave_plan.cpp
+++ b/src/fleet/wave_plan.cpp
@@ -5,21 +5,62 @@
 namespace lacewingquay::fleet
 {
 
+namespace
+{
+
+/// Machines of one kind that are left in a wave.
+struct wave_share
+{
+    int remaining = 0;
+    int draining = 0;
+    std::vector<const wave_machine*> busy;
+};
+
+/// Number of machines to be drained at once so that all `remaining` are done within `time`.
+int pace_for(int remaining, milliseconds time, const wave& definition, const wave_settings& values)
+{
+    const std::int64_t rounds = std::max<std::int64_t>(1, time / values.machine_turnaround);
+    const int pace = static_cast<int>((remaining + rounds - 1) / rounds);
+    return std::min(definition.max_away, std::max(1, pace));
+}
+
+void drain_more(wave_share& share, int limit, wave_step& step)
+{
+    std::sort(share.busy.begin(), share.busy.end(),
+              [](const wave_machine* left_machine, const wave_machine* right_machine)
+              {
+                  return left_machine->tasks != right_machine->tasks
+                             ? left_machine->tasks < right_machine->tasks
+                             : left_machine->name < right_machine->name;
+              });
+    for (const wave_machine* machine : share.busy)
+    {
+        if (share.draining >= limit)
+        {
+            break;
+        }
+        ++share.draining;
+        step.drain.push_back(machine->name);
+    }
+}
+
+} // namespace
+
 wave_step plan_wave(const wave& definition, std::span<const wave_machine> machines,
                     int in_maintenance, milliseconds time_left, const wave_settings& values)
 {
     wave_step step;
     int free_slots = definition.max_away - in_maintenance;
-    int draining = 0;
-    int remaining = 0;
-    std::vector<const wave_machine*> busy;
+    wave_share long_running;
+    wave_share others;
     for (const wave_machine& machine : machines)
     {
         if (machine.missing)
         {
             continue;
         }
-        ++remaining;
+        wave_share& share = machine.long_running_tasks > 0 ? long_running : others;
+        ++share.remaining;
         if (!machine.available)
         {
             continue;
@@ -32,38 +73,17 @@
             step.maintain.push_back(machine.name);
             continue;
         }
-        draining += machine.draining ? 1 : 0;
+        share.draining += machine.draining ? 1 : 0;
         if (!machine.draining)
         {
-            busy.push_back(&machine);
+            share.busy.push_back(&machine);
         }
     }
     const milliseconds time = std::max(time_left - values.safety_margin, values.machine_turnaround);
-    const std::int64_t rounds = std::max<std::int64_t>(1, time / values.machine_turnaround);
-    const int pace = static_cast<int>((remaining + rounds - 1) / rounds);
-    const int limit = std::min(definition.max_away, std::max(1, pace));
-    std::sort(busy.begin(), busy.end(),
-              [](const wave_machine* left_machine, const wave_machine* right_machine)
-              {
-                  if (left_machine->long_running_tasks != right_machine->long_running_tasks)
-                  {
-                      return left_machine->long_running_tasks < right_machine->long_running_tasks;
-                  }
-                  if (left_machine->tasks != right_machine->tasks)
-                  {
-                      return left_machine->tasks < right_machine->tasks;
-                  }
-                  return left_machine->name < right_machine->name;
-              });
-    for (const wave_machine* machine : busy)
-    {
-        if (draining >= limit)
-        {
-            break;
-        }
-        ++draining;
-        step.drain.push_back(machine->name);
-    }
+    // Disruption budgets allow few stops of long-running tasks at a time, and an outage of the
+    // store delays them further, so these machines are to be done in half of the time.
+    drain_more(long_running, pace_for(long_running.remaining, time / 2, definition, values), step);
+    drain_more(others, pace_for(others.remaining, time, definition, values), step);
     return step;
 }
 
--- a/src/fleet/wave_plan.hpp
+++ b/src/fleet/wave_plan.hpp
@@ -57,7 +57,8 @@
 
 /// Chooses the next machines of a wave. `in_maintenance` of its machines are in maintenance;
 /// `time_left` is the time until it must be finished. Idle machines are maintained first; busy ones
-/// are closed for new runs at the pace that the remaining time requires.
+/// are closed for new runs at the pace that the remaining time requires, those with long-running
+/// tasks at twice that pace.
 [[nodiscard]] wave_step plan_wave(const wave& definition, std::span<const wave_machine> machines,
                                   int in_maintenance, milliseconds time_left,
                                   const wave_settings& values);
--- a/src/manager/fleet_controller.cpp
+++ b/src/manager/fleet_controller.cpp
@@ -203,6 +203,7 @@
         view.name = entry.first;
         view.pool = machine.listed.pool;
         view.cpu = machine.listed.capacity.cpu;
+        view.memory = machine.listed.capacity.memory;
         scheduler::server_state* server = server_of(entry.first);
         view.available = !machine.ordered && machine.draining_for_wave == 0 &&
                          machine.listed.state == fleet::machine_state::up &&
@@ -251,6 +252,7 @@
         {
             view.running_cpu = found->second.running.cpu;
             view.waiting_cpu = found->second.waiting.cpu;
+            view.demand_memory = found->second.running.memory + found->second.waiting.memory;
             view.capacity_cpu = found->second.capacity.cpu;
             view.needs_other_machine = found->second.unplaceable > 0;
         }
--- a/src/scheduler/load.hpp
+++ b/src/scheduler/load.hpp
@@ -66,9 +66,9 @@
     /// Requested by tasks that could start now.
     job::resources waiting;
     job::resources capacity;
-    /// Tasks that no server of the pool accepts although one has enough free capacity: because of
-    /// labels, limits per server, or tasks that must not share a server. At most one task is
-    /// counted for each step.
+    /// Long-running tasks that no server of the pool accepts, and other tasks that none accepts
+    /// although one has enough free capacity: because of labels, limits per server, or tasks that
+    /// must not share a server. At most one task is counted for each step.
     int unplaceable = 0;
 };
 
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -279,12 +279,14 @@
     }
 
     /// Counts the task if some server of its pool has free capacity for it, so that only labels,
-    /// limits per server or incompatible tasks prevent its start.
+    /// limits per server or incompatible tasks prevent its start. Long-running tasks always count:
+    /// no end of another run will make room for them soon.
     void count_unplaceable(const task_ref& ref)
     {
         const std::vector<server_state*>& pool = pools_[ref.job->queue.pool];
         const job::resources& request = ref.definition().request;
         const bool has_room =
+            ref.definition().long_running ||
             std::any_of(pool.begin(), pool.end(),
                         [&](const server_state* server)
                         { return request.fits_into(server->info.capacity - server->used); });
--- a/src/scheduler/scheduler_load.cpp
+++ b/src/scheduler/scheduler_load.cpp
@@ -41,7 +41,8 @@
         if (server.registered && !server.info.draining)
         {
             pool_load& load = result[server.info.pool];
-            load.capacity += server.info.capacity;
+            // A closed server runs what it has, and no more.
+            load.capacity += server.closed ? server.used : server.info.capacity;
             load.running += server.used;
         }
     }
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -120,6 +120,28 @@
     }
 }
 
+TEST_CASE("a pool whose tasks fill the memory of its machines gets more machines", "[fleet]")
+{
+    // Guards against long-running tasks that wait for a whole day: the pool was sized by processors
+    // alone, of which its tasks used a third.
+    constexpr std::int64_t memory = 128'000;
+    planner pool_planner{planner_settings{}};
+    std::vector<machine_view> machines;
+    for (int index = 0; index < 10; ++index)
+    {
+        machines.push_back(idle_machine("off" + std::to_string(index), "parking"));
+        machines.back().memory = memory;
+    }
+    pool_view standby_pool;
+    standby_pool.name = "parking";
+    standby_pool.standby = true;
+    pool_view pool = make_pool("audits", 2 * host_cpu, 6);
+    pool.demand_memory = 8 * memory;
+    const std::vector<pool_view> pools{pool, standby_pool};
+    // Eight machines' memory, 10 % headroom and a spare machine.
+    CHECK(moves_to(pool_planner.decide(machines, pools, start), "audits") == 4);
+}
+
 TEST_CASE("a move that the platform has refused is not ordered again", "[fleet]")
 {
     planner pool_planner{planner_settings{}};
@@ -217,6 +239,37 @@
              });
 }
 
+TEST_CASE("a wave drains machines with long-running tasks from its beginning", "[fleet]")
+{
+    // Guards against a wave that is late by its last machines: those with long-running tasks came
+    // last, and their disruption budgets then took longer than the time that was left.
+    wave definition;
+    definition.max_away = 90;
+    std::vector<wave_machine> machines;
+    for (int index = 0; index < 100; ++index)
+    {
+        wave_machine machine;
+        machine.name = "m" + std::to_string(index);
+        machine.available = true;
+        machine.tasks = index < 40 ? 3 : 1;
+        machine.long_running_tasks = index < 40 ? 3 : 0;
+        machines.push_back(machine);
+    }
+    const wave_step step =
+        plan_wave(definition, machines, 0, milliseconds(28'000), wave_settings{});
+    const auto long_running =
+        std::count_if(machines.begin(), machines.end(),
+                      [&](const wave_machine& machine)
+                      {
+                          return machine.long_running_tasks > 0 &&
+                                 std::find(step.drain.begin(), step.drain.end(), machine.name) !=
+                                     step.drain.end();
+                      });
+    // 25 s without the margin: half of it holds two rounds of 4.5 s.
+    CHECK(long_running == 20);
+    CHECK(step.drain.size() == 32);
+}
+
 TEST_CASE("a wave closes more machines at once when little time is left", "[fleet]")
 {
     wave definition;
--- a/tests/scheduler/scheduler_test.cpp
+++ b/tests/scheduler/scheduler_test.cpp
@@ -634,3 +634,39 @@
         CHECK(registered + lapses_after <= server->lease_end);
     }
 }
+
+TEST_CASE("a long-running task without room calls for another machine", "[scheduler]")
+{
+    // Guards against a task that lasts and waits although machines of other pools are free: no
+    // server of its pool had enough free memory, which was taken for a matter of time.
+    scheduler::scheduler owner{scheduler::settings{}};
+    const steady_time now{std::chrono::hours(1)};
+    owner.update_server(make_server("s"), now);
+    const auto add = [&](const std::string& id, bool long_running)
+    {
+        job::record record = make_job(id, 1, 1, 1'000, milliseconds(500));
+        record.work.steps.front().request.memory = host_capacity.memory;
+        record.work.steps.front().long_running = long_running;
+        owner.add_job(std::move(record), nullptr, {}, now);
+    };
+    add("fills", true);
+    owner.stored(owner.prepare(now, 10), now);
+    add("short", false);
+    static_cast<void>(owner.prepare(now, 10));
+    CHECK(owner.pool_loads()["pool"].unplaceable == 0);
+    add("lasts", true);
+    static_cast<void>(owner.prepare(now, 10));
+    CHECK(owner.pool_loads()["pool"].unplaceable == 1);
+}
+
+TEST_CASE("a closed server counts as capacity for its own runs only", "[scheduler]")
+{
+    scheduler::scheduler owner{scheduler::settings{}};
+    const steady_time now{std::chrono::hours(1)};
+    owner.update_server(make_server("s"), now);
+    owner.add_job(make_job("a", 1, 1, 1'000, milliseconds(500)), nullptr, {}, now);
+    static_cast<void>(owner.prepare(now, 10));
+    CHECK(owner.pool_loads()["pool"].capacity.cpu == host_capacity.cpu);
+    owner.find_server("s")->closed = true;
+    CHECK(owner.pool_loads()["pool"].capacity.cpu == 1'000);
+}
