Let long-running tasks leave all machines of a wave from its beginning

Cause: the machines that a wave drains last hold long-running tasks, whose disruption budgets allow two or three stops at a time; they were evacuated only once their machine was closed, and often to another machine of the wave. Change: long-running tasks avoid machines that are due for maintenance, and leave these within their budgets from the beginning of the wave; other tasks use the machine until it is drained. Test: scheduler 'a long-running task avoids servers that are due for maintenance'.

--- a/src/manager/fleet_controller.cpp
+++ b/src/manager/fleet_controller.cpp
@@ -358,9 +358,12 @@
                     server == nullptr || owner_->job_scheduler().can_interrupt(*server);
                 view.tasks = server == nullptr ? 0 : static_cast<int>(server->tasks.size());
                 view.long_running_tasks = server == nullptr ? 0 : server->long_running_tasks;
-                if (view.draining && server != nullptr)
+                if (server != nullptr)
                 {
-                    server->closed = true;
+                    // Long-running tasks leave all machines of the wave from its beginning, as far as
+                    // their disruption budgets allow. Until a machine is drained, other tasks use it.
+                    server->maintenance_due = true;
+                    server->closed = server->closed || view.draining;
                     owner_->job_scheduler().evacuate(*server);
                 }
             }
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -330,6 +330,8 @@
     {
         constexpr double other_rack_penalty = 10.0;
         constexpr double avoided_penalty = 1000.0;
+        // Outweighs the preference for servers with other long-running tasks.
+        constexpr double maintenance_due_penalty = 5.0;
         const double capacity =
             std::max<double>(1.0, static_cast<double>(server.info.capacity.cpu));
         double score = static_cast<double>(server.info.capacity.cpu - server.used.cpu) / capacity;
@@ -340,6 +342,7 @@
         if (step.long_running)
         {
             score -= std::min(server.long_running_tasks, 8) * 0.5;
+            score += server.maintenance_due ? maintenance_due_penalty : 0.0;
         }
         if (!step.data_rack.empty() && step.data_rack != server.info.rack)
         {
--- a/tests/scheduler/scheduler_test.cpp
+++ b/tests/scheduler/scheduler_test.cpp
@@ -670,3 +670,26 @@
     owner.find_server("s")->closed = true;
     CHECK(owner.pool_loads()["pool"].capacity.cpu == 1'000);
 }
+
+TEST_CASE("a long-running task avoids servers that are due for maintenance", "[scheduler]")
+{
+    // Guards against tasks that are evacuated from one machine of a wave to another one; each move
+    // uses up their step's disruption budget again, and the wave is late.
+    scheduler::scheduler owner{scheduler::settings{}};
+    const steady_time now{std::chrono::hours(1)};
+    owner.update_server(make_server("s1"), now);
+    owner.update_server(make_server("s2"), now);
+    const auto place = [&](const std::string& id)
+    {
+        job::record record = make_job(id, 1, 1, 1'000, milliseconds(500));
+        record.work.steps.front().long_running = true;
+        owner.add_job(std::move(record), nullptr, {}, now);
+        const scheduler::batch work = owner.prepare(now, 10);
+        owner.stored(work, now);
+        return work.starts.empty() ? std::string() : work.starts.front().server;
+    };
+    const std::string first = place("a");
+    REQUIRE(place("b") == first);
+    owner.find_server(first)->maintenance_due = true;
+    CHECK(place("c") != first);
+}
