Maintain a machine only once the runs being stopped on it have ended

Cause: a wave's order overtook the stops on its machine. Change: a machine with runs being stopped is not ready; a machine that the platform lists as in maintenance or moving under a confirmed order has ended its former server. Test: scheduler 'a server counts as stopping until its stopped runs have ended'.

--- a/src/manager/fleet_controller.cpp
+++ b/src/manager/fleet_controller.cpp
@@ -117,6 +117,12 @@
         machine_entry& entry = machines_[machine.name];
         entry.in_latest_list = true;
         entry.listed = std::move(machine);
+        if (entry.ordered && entry.confirmed && entry.listed.state != fleet::machine_state::up)
+        {
+            // The order is under way, so the former server has ended.
+            owner_->job_scheduler().end_incarnation(entry.former_server, entry.former_born,
+                                                    shared_.now());
+        }
         if (is_order_over(entry, requested_at))
         {
             cancel_order(entry.listed.name);
@@ -355,13 +361,15 @@
                     std::chrono::duration_cast<milliseconds>(now - machine.draining_since);
                 view.idle = server == nullptr || server->tasks.empty();
                 view.can_interrupt =
-                    server == nullptr || owner_->job_scheduler().can_interrupt(*server);
+                    server == nullptr || (owner_->job_scheduler().can_interrupt(*server) &&
+                                          !scheduler::scheduler::has_task_stopping(*server));
                 view.tasks = server == nullptr ? 0 : static_cast<int>(server->tasks.size());
                 view.long_running_tasks = server == nullptr ? 0 : server->long_running_tasks;
                 if (server != nullptr)
                 {
-                    // Long-running tasks leave all machines of the wave from its beginning, as far as
-                    // their disruption budgets allow. Until a machine is drained, other tasks use it.
+                    // Long-running tasks leave all machines of the wave from its beginning, as far
+                    // as their disruption budgets allow. Until a machine is drained, other tasks
+                    // use it.
                     server->maintenance_due = true;
                     server->closed = server->closed || view.draining;
                     owner_->job_scheduler().evacuate(*server);
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -157,6 +157,10 @@
     /// True if a long-running task on `server` has not reached full speed yet.
     [[nodiscard]] static bool has_task_starting_up(const server_state& server);
 
+    /// True if a run on `server` is being stopped. It has not saved its checkpoint yet, and whether
+    /// it has ended is known only from a later report.
+    [[nodiscard]] static bool has_task_stopping(const server_state& server);
+
     [[nodiscard]] server_state* find_server(std::string_view id);
     [[nodiscard]] const std::map<std::string, std::unique_ptr<server_state>, std::less<>>&
     servers() const
--- a/src/scheduler/scheduler_budget.cpp
+++ b/src/scheduler/scheduler_budget.cpp
@@ -18,6 +18,12 @@
                        });
 }
 
+bool scheduler::has_task_stopping(const server_state& server)
+{
+    return std::any_of(server.tasks.begin(), server.tasks.end(),
+                       [](const task_ref& ref) { return ref.task().stop_wanted; });
+}
+
 bool scheduler::is_answering(const server_state& server) const
 {
     return server.registered && !server.ending && server.unanswered == 0 &&
--- a/tests/scheduler/scheduler_test.cpp
+++ b/tests/scheduler/scheduler_test.cpp
@@ -693,3 +693,40 @@
     owner.find_server(first)->maintenance_due = true;
     CHECK(place("c") != first);
 }
+
+TEST_CASE("a server counts as stopping until its stopped runs have ended", "[scheduler]")
+{
+    // Guards against a maintenance that overtakes the stops on its machine: whether the runs had
+    // ended stayed unknown until their lease expired, and their steps' budgets were used up so
+    // long.
+    scheduler::scheduler owner{scheduler::settings{}};
+    steady_time now{std::chrono::hours(1)};
+    owner.update_server(make_server("s"), now);
+    job::record record = make_job("a", 1, 2, 1'000, milliseconds(500));
+    record.work.steps.front().long_running = true;
+    record.work.steps.front().disruption_budget = 1;
+    owner.add_job(std::move(record), nullptr, {}, now);
+    const scheduler::batch work = owner.prepare(now, 10);
+    owner.stored(work, now);
+    worker::report report;
+    report.born = 1;
+    for (const worker::start_order& order : work.starts)
+    {
+        report.running.push_back({order.task, order.run, "", 100});
+    }
+    now += milliseconds(50);
+    owner.apply_report("s", report, now, now);
+    scheduler::server_state& server = *owner.find_server("s");
+    CHECK_FALSE(scheduler::scheduler::has_task_stopping(server));
+    owner.evacuate(server);
+    CHECK(scheduler::scheduler::has_task_stopping(server));
+    const std::vector<worker::stop_order> stops = owner.take_stops(now);
+    REQUIRE(stops.size() == 1);
+    std::erase_if(report.running, [&](const worker::running_task& entry)
+                  { return entry.task == stops.front().task; });
+    report.ended.push_back({1, stops.front().task, 1, worker::end_kind::stopped, "checkpoint"});
+    now += milliseconds(900);
+    owner.apply_report("s", report, now, now);
+    CHECK(server.tasks.size() == 1);
+    CHECK_FALSE(scheduler::scheduler::has_task_stopping(server));
+}
