Check an owner's permission immediately before each order, on a clock that counts suspension

Cause: the steady clock stands still while a machine is suspended, so an owner that woke up after seconds took its ownership for confirmed and ordered machines, which the platform does not fence. The check also came before the connection was made. An owner in a cut zone extended leases for as long as the cut lasted, while a new owner, which cannot reach their servers, repeats the runs after 9 s. Change: the manager reads a clock that counts suspension; orders to machines and starts are checked at the first byte; leases are extended for 2.5 s after the last confirmation, longer only in an outage of the whole store.

--- a/src/core/clock.hpp
+++ b/src/core/clock.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace lacewingquay
 {
@@ -35,6 +36,23 @@
     [[nodiscard]] wall_time wall_now() const override { return std::chrono::system_clock::now(); }
 };
 
+/// As `system_clock_source`, but its steady clock also counts time in which the machine is
+/// suspended, so that a permission runs out meanwhile. Not comparable with
+/// `std::chrono::steady_clock::now()`.
+class suspend_aware_clock_source final : public clock_source
+{
+public:
+    [[nodiscard]] steady_time steady_now() const override
+    {
+        timespec time{};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        return steady_time(std::chrono::seconds(time.tv_sec) +
+                           std::chrono::nanoseconds(time.tv_nsec));
+    }
+
+    [[nodiscard]] wall_time wall_now() const override { return std::chrono::system_clock::now(); }
+};
+
 /// A clock that moves only when told to.
 class manual_clock_source final : public clock_source
 {
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -145,7 +145,8 @@
     }
     stream_.expires_at(limits.deadline);
     // Checked as late as possible: a process that was paused until here must not send.
-    if (std::chrono::steady_clock::now() >= limits.start_by)
+    if (std::chrono::steady_clock::now() >= limits.start_by ||
+        (limits.may_start && !limits.may_start()))
     {
         stream_.expires_never();
         refuse_late_start(result);
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -22,6 +23,9 @@
 {
     /// The first byte is written before this, or the request is not run.
     std::chrono::steady_clock::time_point start_by = std::chrono::steady_clock::time_point::max();
+    /// Checked immediately before the first byte is written; if it returns false, the request is
+    /// not run. Empty means that the request is always permitted.
+    std::function<bool()> may_start;
     /// The whole answer is read before this.
     std::chrono::steady_clock::time_point deadline = std::chrono::steady_clock::time_point::max();
     /// Largest accepted body of the answer, in bytes.
@@ -34,7 +38,7 @@
     none,
     /// No connection could be made.
     connect,
-    /// The first byte could not be written in time.
+    /// The first byte could not be written in time, or was no longer permitted.
     start_by_passed,
     /// No whole answer in time; the server may still be working on the request.
     timeout,
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -46,9 +46,20 @@
 
 boost::asio::awaitable<exchange_result>
 connection_pool::call(const address& server, request message, std::chrono::milliseconds timeout)
+{
+    co_return co_await call(server, std::move(message), timeout, {});
+}
+
+boost::asio::awaitable<exchange_result> connection_pool::call(const address& server,
+                                                              request message,
+                                                              std::chrono::milliseconds timeout,
+                                                              std::function<bool()> may_start)
 {
     std::unique_ptr<client_connection> connection = take(server);
-    exchange_result result = co_await connection->exchange(std::move(message), timeout);
+    exchange_limits limits;
+    limits.deadline = std::chrono::steady_clock::now() + timeout;
+    limits.may_start = std::move(may_start);
+    exchange_result result = co_await connection->exchange(std::move(message), std::move(limits));
     if (connection->is_open())
     {
         give_back(server.text(), std::move(connection));
--- a/src/http/connection_pool.hpp
+++ b/src/http/connection_pool.hpp
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstddef>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -36,6 +37,12 @@
     boost::asio::awaitable<exchange_result> call(const address& server, request message,
                                                  std::chrono::milliseconds timeout);
 
+    /// As above. `may_start` is checked immediately before the first byte is written; if it returns
+    /// false, nothing is sent and the outcome is `not_run`.
+    boost::asio::awaitable<exchange_result> call(const address& server, request message,
+                                                 std::chrono::milliseconds timeout,
+                                                 std::function<bool()> may_start);
+
     /// Connections opened so far.
     [[nodiscard]] std::uint64_t opened() const { return opened_; }
 
--- a/src/manager/context.hpp
+++ b/src/manager/context.hpp
@@ -77,7 +77,7 @@
 
     settings config;
     boost::asio::io_context& io;
-    system_clock_source clock;
+    suspend_aware_clock_source clock;
     http::connection_pool connections;
     adapter::store store;
     adapter::worker_calls workers;
--- a/src/manager/fleet_controller.cpp
+++ b/src/manager/fleet_controller.cpp
@@ -87,7 +87,7 @@
         {
             continue;
         }
-        if (owner_->is_confirmed(confirmed_age) && !shared_.stopping)
+        if (owner_->may_order_machines() && !shared_.stopping)
         {
             plan_waves(shared_.now());
             plan_moves(shared_.now());
--- a/src/manager/fleet_controller.hpp
+++ b/src/manager/fleet_controller.hpp
@@ -22,9 +22,6 @@
 /// Table of the fleet controller's rows: outstanding orders and the progress of waves.
 inline constexpr std::string_view fleet_table = "fleet";
 
-/// Orders are sent only if the store has confirmed this host's ownership within this time.
-inline constexpr milliseconds confirmed_age{1'200};
-
 /// Moves machines between pools and carries out maintenance waves during an owner's session. Orders
 /// carry the owner's term as fencing token. A machine that a former owner has ordered gets no order
 /// until that one has expired.
--- a/src/manager/fleet_controller_orders.cpp
+++ b/src/manager/fleet_controller_orders.cpp
@@ -245,16 +245,21 @@
 {
     const std::shared_ptr<fleet_controller> self = shared_from_this();
     adapter::machine_outcome outcome = adapter::machine_outcome::refused;
-    if (owner_->is_confirmed(confirmed_age))
+    const auto may_send = [owner = owner_]
+    {
+        return owner->may_order_machines();
+    };
+    if (may_send())
     {
         if (kind == order_kind::move)
         {
-            outcome = co_await shared_.machines.move(machine, pool, owner_->term(), order_timeout);
+            outcome = co_await shared_.machines.move(machine, pool, owner_->term(), order_timeout,
+                                                     may_send);
         }
         else
         {
-            outcome =
-                co_await shared_.machines.maintain(machine, wave, owner_->term(), order_timeout);
+            outcome = co_await shared_.machines.maintain(machine, wave, owner_->term(),
+                                                         order_timeout, may_send);
         }
     }
     const auto found = machines_.find(machine);
--- a/src/manager/owner_session.hpp
+++ b/src/manager/owner_session.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "manager/context.hpp"
+#include "manager/order_permission.hpp"
 #include "platform/store.hpp"
 #include "scheduler/scheduler.hpp"
 
@@ -56,10 +57,17 @@
     /// Version of the owner's row, as condition of transactions that only the owner may make.
     [[nodiscard]] std::int64_t owner_version() const { return owner_version_; }
 
-    /// True if the store has confirmed the ownership within `age`.
-    [[nodiscard]] bool is_confirmed(milliseconds age) const
+    /// What this host knows about its ownership now.
+    [[nodiscard]] ownership_evidence evidence() const
     {
-        return !ended_ && shared_.now() - last_commit_ < age;
+        return {std::chrono::duration_cast<milliseconds>(shared_.now() - last_commit_),
+                shared_.store_unavailable, shared_.isolated};
+    }
+
+    /// True if orders to machines may be sent now.
+    [[nodiscard]] bool may_order_machines() const
+    {
+        return !ended_ && manager::may_order_machines(evidence());
     }
 
 private:
--- a/src/manager/owner_session_orders.cpp
+++ b/src/manager/owner_session_orders.cpp
@@ -72,6 +72,10 @@
 boost::asio::awaitable<void> owner_session::send_starts(std::vector<worker::start_order> orders)
 {
     const std::shared_ptr<owner_session> self = shared_from_this();
+    const auto may_send = [self]
+    {
+        return !self->ended_ && may_start_runs(self->evidence());
+    };
     for (const worker::start_order& order : orders)
     {
         if (ended_)
@@ -83,7 +87,7 @@
         for (int attempt = 0; attempt < 2; ++attempt)
         {
             scheduler::server_state* server = scheduler_.find_server(order.server);
-            if (server == nullptr || server->info.born != order.server_born)
+            if (server == nullptr || server->info.born != order.server_born || !may_send())
             {
                 break;
             }
@@ -94,7 +98,7 @@
             }
             ++counters_.starts;
             const adapter::order_result result =
-                co_await shared_.workers.start(order, deadline, term_, order_timeout);
+                co_await shared_.workers.start(order, deadline, term_, order_timeout, may_send);
             outcome = result.outcome;
             if (outcome == worker::order_outcome::unknown)
             {
@@ -117,7 +121,9 @@
         {
             outcome = worker::order_outcome::unknown;
         }
-        if (outcome == worker::order_outcome::unknown || outcome == worker::order_outcome::not_sent)
+        const bool is_permitted = may_send();
+        if (outcome == worker::order_outcome::unknown ||
+            (outcome == worker::order_outcome::not_sent && is_permitted))
         {
             scheduler_.call_unanswered(order.server, order.server_born);
         }
@@ -181,8 +187,9 @@
         call.fencing_token = term_;
         call.acknowledged_ends = server->ends_stored;
         const steady_time requested_at = shared_.now();
-        call.deadline =
-            server->tasks.empty() ? milliseconds(0) : scheduler_.grant_lease(*server, requested_at);
+        call.deadline = server->tasks.empty() || !may_extend_leases(evidence())
+                            ? milliseconds(0)
+                            : scheduler_.grant_lease(*server, requested_at);
         call.wait = server->tasks.empty() || !server->fencing_confirmed   ? milliseconds(0)
                     : scheduler::scheduler::has_task_starting_up(*server) ? startup_poll_wait
                                                                           : poll_wait;
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -1,5 +1,7 @@
 #include "http/client.hpp"
+#include "http/connection_pool.hpp"
 #include "http/server.hpp"
+#include "platform/loopback.hpp"
 #include "traffic/traffic_fixture.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -10,6 +12,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <future>
 #include <stdexcept>
 #include <string>
@@ -217,3 +220,34 @@
     // halrek-quay-grown, an order with the token of a former owner).
     CHECK(end_of_abandoned_connection() == asio::error::connection_reset);
 }
+
+TEST_CASE("a request whose permission runs out while it connects is not sent", "[http]")
+{
+    // Guards against an order that a host sends on after a pause, when another host acts in its
+    // place.
+    thread_pool pool(1);
+    std::atomic<int> received{0};
+    const std::shared_ptr<http::server> server =
+        listen(pool,
+               [&](http::request) -> asio::awaitable<http::response>
+               {
+                   ++received;
+                   co_return http::make_response(http::status::ok, "");
+               });
+    asio::io_context context;
+    http::connection_pool connections(context.get_executor(), {});
+    const auto call = [&](bool permitted)
+    {
+        return test::run(
+            context, connections.call(server->where(),
+                                      http::make_request(http::method::post, "/order", "{}"),
+                                      std::chrono::milliseconds{1'000}, [=] { return permitted; }));
+    };
+    const http::exchange_result refused = call(false);
+    CHECK(refused.outcome == verdict::not_run);
+    CHECK(refused.failure == http::exchange_failure::start_by_passed);
+    CHECK(received == 0);
+    CHECK(call(true).outcome == verdict::completed);
+    CHECK(received == 1);
+    server->stop();
+}
