Evacuate a machine before checking whether it may be maintained

Cause: the check came before the evacuation of the same round, so a maintenance went out beside the stop of the machine's last long-running task. Change: the order of the two steps. Test: scheduler 'a server whose last run has just been told to stop is not interrupted' holds what the check relies on; the order of the steps in the controller has no test of its own.

--- a/src/manager/fleet_controller.cpp
+++ b/src/manager/fleet_controller.cpp
@@ -360,11 +360,6 @@
                 view.draining_for =
                     std::chrono::duration_cast<milliseconds>(now - machine.draining_since);
                 view.idle = server == nullptr || server->tasks.empty();
-                view.can_interrupt =
-                    server == nullptr || (owner_->job_scheduler().can_interrupt(*server) &&
-                                          !scheduler::scheduler::has_task_stopping(*server));
-                view.tasks = server == nullptr ? 0 : static_cast<int>(server->tasks.size());
-                view.long_running_tasks = server == nullptr ? 0 : server->long_running_tasks;
                 if (server != nullptr)
                 {
                     // Long-running tasks leave all machines of the wave from its beginning, as far
@@ -372,8 +367,14 @@
                     // use it.
                     server->maintenance_due = true;
                     server->closed = server->closed || view.draining;
+                    // Before the check below, so that no order overtakes a stop of this round.
                     owner_->job_scheduler().evacuate(*server);
                 }
+                view.can_interrupt =
+                    server == nullptr || (owner_->job_scheduler().can_interrupt(*server) &&
+                                          !scheduler::scheduler::has_task_stopping(*server));
+                view.tasks = server == nullptr ? 0 : static_cast<int>(server->tasks.size());
+                view.long_running_tasks = server == nullptr ? 0 : server->long_running_tasks;
             }
             views.push_back(std::move(view));
         }
--- a/tests/scheduler/scheduler_test.cpp
+++ b/tests/scheduler/scheduler_test.cpp
@@ -730,3 +730,34 @@
     CHECK(server.tasks.size() == 1);
     CHECK_FALSE(scheduler::scheduler::has_task_stopping(server));
 }
+
+TEST_CASE("a server whose last run has just been told to stop is not interrupted", "[scheduler]")
+{
+    // Guards against a maintenance in the same round as the stop: the server gave no proof of its
+    // end, and a new owner repeated the run only 12 s later (trouble-2 of pwani-scent-grown).
+    scheduler::scheduler owner{scheduler::settings{}};
+    steady_time now{std::chrono::hours(1)};
+    owner.update_server(make_server("s1"), now);
+    owner.update_server(make_server("s2"), now);
+    job::record record = make_job("a", 1, 2, 1'000, milliseconds(500));
+    record.work.steps.front().long_running = true;
+    record.work.steps.front().disruption_budget = 1;
+    record.work.steps.front().max_per_server = 1;
+    owner.add_job(std::move(record), nullptr, {}, now);
+    const scheduler::batch work = owner.prepare(now, 10);
+    REQUIRE(work.starts.size() == 2);
+    owner.stored(work, now);
+    now += milliseconds(50);
+    for (const worker::start_order& order : work.starts)
+    {
+        worker::report report;
+        report.born = 1;
+        report.running.push_back({order.task, order.run, "", 100});
+        owner.apply_report(order.server, report, now, now);
+    }
+    scheduler::server_state& server = *owner.find_server("s1");
+    REQUIRE(owner.can_interrupt(server));
+    owner.evacuate(server);
+    CHECK(owner.can_interrupt(server));
+    CHECK(scheduler::scheduler::has_task_stopping(server));
+}
