Forget ended servers although their address is in use again

Callers saw: nothing directly. Cause: each poll of an ended server was answered by the next server at its address (421), which ended the incarnation once more and so began the 9 s anew in which it is remembered. Evidence: the test fails before the change (find_server("old") is not null after 9 s).

--- a/src/scheduler/scheduler_servers.cpp
+++ b/src/scheduler/scheduler_servers.cpp
@@ -131,7 +131,7 @@
 void scheduler::end_incarnation(std::string_view id, std::int64_t born, steady_time now)
 {
     server_state* server = find_server(id);
-    if (server == nullptr || server->info.born != born)
+    if (server == nullptr || server->info.born != born || server->incarnation_ended)
     {
         return;
     }
--- a/tests/scheduler/scheduler_test.cpp
+++ b/tests/scheduler/scheduler_test.cpp
@@ -264,6 +264,22 @@
     CHECK_FALSE(owner.find_server("b-old")->registered);
 }
 
+TEST_CASE("an ended server whose address is in use again is forgotten", "[scheduler]")
+{
+    // Guards against polling ended servers for ever: each poll is answered by the address's new
+    // server, which confirms the end again.
+    scheduler::scheduler owner{scheduler::settings{}};
+    const steady_time now{std::chrono::hours(1)};
+    owner.update_server(make_server("old", "m"), now);
+    const scheduler::settings timing;
+    for (milliseconds after{0}; after <= timing.max_registration_lag; after += milliseconds(300))
+    {
+        owner.end_incarnation("old", 1, now + after);
+    }
+    owner.advance(now + timing.max_registration_lag + milliseconds(1), wall_time{}, {});
+    CHECK(owner.find_server("old") == nullptr);
+}
+
 TEST_CASE("an end that is reported again after a takeover counts once", "[scheduler]")
 {
     job::record record = make_job("a", 1, 1, 1'000, milliseconds(500));
