Move the ownership from a weak host to a stronger one that has returned

Cause: while the store turned the strong hosts of two zones away and the third zone was cut off, a host with 0.12 cores and 10 Mbit/s took over. It kept the ownership for the 20 s that were left, although strong hosts reached the store again 1.7 s later. It read jobs and cancellations with a delay that grew to 13 s, while its renewals went out on time. Change: a host with at least twice the owner's resources that has reached the store for 1 s without a failure stores a request for the present term; the owner releases its term as in a planned stop. A term is asked for once in 3 s, and hosts of similar resources or with an unstable store never ask.

--- a/src/manager/context.hpp
+++ b/src/manager/context.hpp
@@ -35,6 +35,7 @@
 inline constexpr std::string_view cancel_prefix = "c/";
 inline constexpr std::string_view owner_key = "owner";
 inline constexpr std::string_view load_key = "load";
+inline constexpr std::string_view handover_key = "handover";
 inline constexpr std::string_view host_prefix = "host/";
 inline constexpr std::string_view config_key = "config";
 inline constexpr std::string_view wave_prefix = "wave/";
--- a/src/manager/daemon.cpp
+++ b/src/manager/daemon.cpp
@@ -229,6 +229,16 @@
             {
                 apply_owner(row);
             }
+            else if (row.key == handover_key)
+            {
+                const std::optional<handover_request> request =
+                    parse_or_log("handover_unreadable", row.key, row.version,
+                                 [&] { return parse_handover(row.value); });
+                if (request)
+                {
+                    shared_.owner.observe_handover(*request, shared_.now());
+                }
+            }
             else if (row.key == load_key)
             {
                 std::optional<load_summary> summary = parse_or_log(
@@ -281,6 +291,7 @@
                 return;
             }
             consider_takeover();
+            consider_handover();
         };
         feed.is_ended = []
         {
@@ -363,6 +374,39 @@
         }
     }
 
+    /// Moves the ownership from a weak host, which took over while stronger ones were away, to a
+    /// stronger one.
+    void consider_handover()
+    {
+        if (session_ && session_->is_loaded() && !session_->ended() &&
+            session_->term() == shared_.owner.row().term && shared_.owner.should_hand_over())
+        {
+            session_->release("a stronger host has asked for it");
+        }
+        else if (!session_ && !taking_over_ && !requesting_handover_ && !shared_.stopping &&
+                 !shared_.isolated && shared_.owner.should_request_handover(shared_.now()))
+        {
+            requesting_handover_ = true;
+            spawn([this] { return request_handover(); });
+        }
+    }
+
+    boost::asio::awaitable<void> request_handover()
+    {
+        const handover_request request{shared_.config.host, shared_.owner.row().term};
+        adapter::transaction work;
+        work.writes.push_back(
+            {std::string(owner_table), std::string(handover_key), serialize_handover(request)});
+        const adapter::commit_result result = co_await shared_.store.commit(work, commit_timeout);
+        requesting_handover_ = false;
+        shared_.owner.observe_handover(request, shared_.now());
+        log_event(log_level::info, "handover_requested",
+                  {{"term", request.term},
+                   {"owner", shared_.owner.row().host},
+                   {"stored", result.outcome == adapter::commit_outcome::done},
+                   {"reason", result.reason}});
+    }
+
     boost::asio::awaitable<void> take_over()
     {
         const std::int64_t term = shared_.owner.row().term + 1;
@@ -459,7 +503,7 @@
         const steady_time stop_requested = shared_.now();
         if (session_)
         {
-            session_->release();
+            session_->release("this host is stopping");
         }
         co_await sleep_for(shared_, load_balancer_delay);
         caller_server_->stop();
@@ -484,6 +528,8 @@
     std::map<std::int64_t, fleet::wave> waves_;
     /// A takeover transaction is in flight.
     bool taking_over_ = false;
+    /// A handover request is being stored.
+    bool requesting_handover_ = false;
 };
 
 } // namespace
--- a/src/manager/owner_session.cpp
+++ b/src/manager/owner_session.cpp
@@ -86,8 +86,12 @@
     }
 }
 
-void owner_session::release()
+void owner_session::release(std::string_view reason)
 {
+    if (!releasing_)
+    {
+        log_event(log_level::info, "ownership_handed_over", {{"term", term_}, {"reason", reason}});
+    }
     releasing_ = true;
     wake_timer_.cancel();
 }
--- a/src/manager/owner_session.hpp
+++ b/src/manager/owner_session.hpp
@@ -44,7 +44,7 @@
     void configure();
 
     /// Gives up ownership: the next commit also marks the owner's row as released.
-    void release();
+    void release(std::string_view reason);
 
     /// True once ownership was lost or released.
     [[nodiscard]] bool ended() const { return ended_; }
--- a/src/manager/ownership.hpp
+++ b/src/manager/ownership.hpp
@@ -5,7 +5,7 @@
 #include <boost/leaf.hpp>
 
 #include <cstdint>
-#include <set>
+#include <map>
 #include <string>
 #include <string_view>
 
@@ -27,6 +27,16 @@
 [[nodiscard]] std::string serialize_owner(const owner_row& value);
 [[nodiscard]] boost::leaf::result<owner_row> parse_owner(std::string_view text);
 
+/// A stored request of a stronger host that the owner of a term hand over the ownership.
+struct handover_request
+{
+    std::string host;
+    std::int64_t term = 0;
+};
+
+[[nodiscard]] std::string serialize_handover(const handover_request& value);
+[[nodiscard]] boost::leaf::result<handover_request> parse_handover(std::string_view text);
+
 /// Resources of an entry host. The owner needs processor time and, to read all open jobs at a
 /// takeover, bandwidth.
 struct host_resources
@@ -55,10 +65,18 @@
     /// Bandwidth above this, in Mbit/s, is no advantage: with 350 backend servers all hosts
     /// together exchange only 10 Mbit/s with the store.
     double sufficient_link_mbit = 100.0;
+    /// An owner with less than this fraction of another host's resources hands over to that host.
+    double handover_strength = 0.5;
+    /// The other host must have reached the store without interruption for this long, and the owner
+    /// must have been seen for as long, so that an unstable host does not attract the ownership.
+    milliseconds handover_stability{1'000};
+    /// A request without effect is repeated after this time, by any strong host.
+    milliseconds handover_retry{3'000};
 };
 
-/// Decides when this host may try to become the owner. The attempt itself is a transaction that is
-/// conditional on the version of the owner's row that this host has seen.
+/// Decides when this host may try to become the owner, and when a weak owner hands over to a
+/// stronger host that has returned. The attempt itself is a transaction that is conditional on the
+/// version of the owner's row that this host has seen.
 class ownership
 {
 public:
@@ -74,6 +92,15 @@
     /// since it was written, by the store's clock. Older versions are ignored.
     void observe(const owner_row& row, std::int64_t version, milliseconds age, steady_time now);
 
+    /// Takes a request of another host or of this one.
+    void observe_handover(const handover_request& request, steady_time now);
+
+    /// True if this host should ask the owner to hand over.
+    [[nodiscard]] bool should_request_handover(steady_time now) const;
+
+    /// True if this host owns the current term and a stronger host has asked for it.
+    [[nodiscard]] bool should_hand_over() const;
+
     /// Restarts the failure timeout after a failed call to the store, since the owner cannot renew
     /// during an outage either.
     void on_store_failure(steady_time now);
@@ -90,18 +117,28 @@
 
 private:
     [[nodiscard]] milliseconds delay() const;
+    /// Resources as a fraction of those of the strongest host.
+    [[nodiscard]] double strength(const host_resources& resources) const;
+    /// True if `candidate` is so much stronger than the owner that the ownership should move to it.
+    [[nodiscard]] bool outclasses_owner(std::string_view candidate) const;
 
     ownership_settings settings_;
     std::string host_;
-    host_resources own_resources_;
     host_resources max_resources_;
-    std::set<std::string, std::less<>> hosts_;
+    /// Known entry hosts, including this one.
+    std::map<std::string, host_resources, std::less<>> hosts_;
     owner_row row_;
     std::int64_t version_ = 0;
     bool loaded_ = false;
     /// An owner already existed when this host first read the row.
     bool restarted_ = false;
     steady_time last_change_{};
+    /// Since when this host knows the current term.
+    steady_time term_seen_{};
+    /// Latest failed call to the store.
+    steady_time store_failed_{};
+    handover_request request_;
+    steady_time request_seen_{};
 };
 
 } // namespace lacewingquay::manager
