Store a release that is requested during a commit before the term ends

Callers saw: after a planned stop or a handover of the owner, at times nothing was scheduled for 2.1 s more. Cause: the loop decided before a commit whether it carries the release, and after it, by the flag's new value, that the term was over. A release requested meanwhile was never stored, so the other hosts waited for the failure timeout. Change: the term ends after the commit that carried the release.

--- a/src/manager/owner_session.cpp
+++ b/src/manager/owner_session.cpp
@@ -414,6 +414,8 @@
         const bool renew = commit_in_doubt_ || releasing_ || now - last_renewal_ >= timing.renewal;
         if (!work.writes.empty() || renew)
         {
+            // A release that is requested during the commit is stored by the next one.
+            const bool is_release = releasing_;
             const std::vector<std::string> expired = std::exchange(progress_to_remove_, {});
             const adapter::commit_result result = co_await shared_.store.commit(
                 make_transaction(work, renew, expired), commit_timeout);
@@ -422,7 +424,7 @@
                 co_return;
             }
             const bool done = apply_commit_result(work, result, renew);
-            if (done && releasing_)
+            if (done && is_release)
             {
                 end("released");
                 co_return;
