Give each stand-in of the soak an address of its own

Cause: a port was found by binding a probe to port 0 and closing it, long before the stand-in listened there. Change: stand-ins listen at addresses of their run, as the daemons do, at fixed ports below the range of outgoing connections, so that nothing is probed.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,7 +15,6 @@
 import pathlib
 import random
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -33,10 +32,14 @@
 HEARTBEAT = 1.5
 
 
-def free_port(ip):
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+# Each process and stand-in of a run has an address of its own, so the ports can be fixed. They lie below the range from
+# which the kernel takes the ports of outgoing connections.
+PORT, READY_PORT, STORE_PORT = 7001, 7002, 7003
+
+
+def run_address(seed, number):
+    """Address of a run; runs with other seeds use other addresses, as each daemon serves metrics at one port."""
+    return f"127.{1 + seed // 250 % 250}.{seed % 250}.{number}"
 
 
 class Checks:
@@ -102,23 +105,21 @@
     """One daemon as a process of its own, with its own way to the store."""
 
     def __init__(self, number, seed, store, folder):
-        # Runs with other seeds use other addresses, as each daemon serves metrics at one port.
-        self.name, self.ip = f"host-{number}", f"127.{1 + seed // 250 % 250}.{seed % 250}.{number + 1}"
+        self.name, self.ip = f"host-{number}", run_address(seed, number + 1)
         self.folder, self.process, self.paused = folder, None, False
         # Two faults at once must not start two processes.
         self.restarting = asyncio.Lock()
         self.store = standin.Connection(store.answer)
-        self.port, self.ready_port, self.store_port = free_port(self.ip), free_port(self.ip), free_port("127.0.0.1")
 
     async def start(self):
         if not hasattr(self.store, "server"):
-            await self.store.listen(self.store_port)
+            await self.store.listen(self.ip, STORE_PORT)
         settings = self.folder / f"{self.name}.json"
         settings.write_text(json.dumps({
-            "node": self.name, "zone": "z1", "listen": {"front": f"{self.ip}:{self.port}",
-                                                        "readiness": f"{self.ip}:{self.ready_port}"},
+            "node": self.name, "zone": "z1", "listen": {"front": f"{self.ip}:{PORT}",
+                                                        "readiness": f"{self.ip}:{READY_PORT}"},
             "limits": {"cpu-share": 0.25, "cores": 1, "link-mbps": 1000},
-            "platform": {"address": f"127.0.0.1:{self.store_port}"},
+            "platform": {"address": f"{self.ip}:{STORE_PORT}"},
             "bounds": {"grace-s": GRACE, "max-hold-ms": 10000, "status_s": 120, "lease-ms": 3000}}))
         with open(self.folder / f"{self.name}.log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -143,7 +144,7 @@
     async def call(self, method, path, body=None, patience=3.0):
         """The status and body of an answer, or nothing."""
         async def exchange():
-            reader, writer = await asyncio.open_connection(self.ip, self.port)
+            reader, writer = await asyncio.open_connection(self.ip, PORT)
             try:
                 data = json.dumps(body).encode() if body else b""
                 writer.write(f"{method} {path} HTTP/1.1\r\nhost: {CALL_HOST}\r\ndeadline-ms: {int(patience * 1000)}\r\n"
@@ -164,7 +165,7 @@
         self.random, self.options, self.folder = random.Random(seed), options, folder
         self.checks, self.store = Checks(), standin.Store()
         self.hosts = [EntryHost(number, seed, self.store, folder) for number in range(options.hosts)]
-        self.servers = [standin.BackendServer(number, list(QUEUES.values())[number % 2], free_port("127.0.0.1"),
+        self.servers = [standin.BackendServer(number, list(QUEUES.values())[number % 2], run_address(seed, 100 + number),
                                               self.checks, seed * 1000 + number) for number in range(options.servers)]
         self.checks.servers = self.servers
         self.lives = 0
@@ -281,7 +282,7 @@
 
     async def play(self):
         for server in self.servers:
-            await server.connection.listen(server.port)
+            await server.connection.listen(server.ip, standin.SERVER_PORT)
         self.store.write("op", "", "config", {
             "version": 3, "limits": {}, "services": [{"name": pool} for pool in QUEUES.values()],
             "routes": [{"host": CALL_HOST, "prefix": prefix, "service": pool, "stretch": 3, "max-attempts": 50,
--- a/tests/soak/standin.py
+++ b/tests/soak/standin.py
@@ -1,6 +1,6 @@
 """Stand-ins of the users' platform by its published protocol: the transactional store and backend servers.
 
-Each listens on loopback ports. Every entry host has a port of its own to the store, where its
+Each listens on loopback addresses. Every entry host has an address of its own to the store, where its
 connection can be disturbed: delayed, reset, silenced, or cut one way (performed and not answered).
 """
 import asyncio
@@ -10,6 +10,9 @@
 import time
 from urllib.parse import parse_qs, urlsplit
 
+# Each backend server has an address of its own.
+SERVER_PORT = 7000
+
 REASONS = {200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found", 409: "Conflict", 410: "Gone",
            412: "Precondition Failed", 421: "Misdirected Request", 429: "Too Many Requests", 503: "Unavailable"}
 
@@ -19,7 +22,7 @@
 
 
 class Connection:
-    """What happens to calls that arrive at one port."""
+    """What happens to calls that arrive at one address."""
 
     def __init__(self, answer):
         self.answer = answer
@@ -29,9 +32,8 @@
         # Faults of the stand-in itself.
         self.failures = []
 
-    async def listen(self, port):
-        self.port = port
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
+    async def listen(self, ip, port):
+        self.server = await asyncio.start_server(self.serve, ip, port)
 
     async def close(self):
         self.server.close()
@@ -168,9 +170,9 @@
 class BackendServer:
     """One life after the other of a server; tells `watch` of each start, end and forgotten end."""
 
-    def __init__(self, number, pool, port, watch, seed):
+    def __init__(self, number, pool, ip, watch, seed):
         self.id = f"i-{number:04d}"
-        self.pool, self.port, self.watch = pool, port, watch
+        self.pool, self.ip, self.watch = pool, ip, watch
         self.random = random.Random(seed)
         self.capacity = 4000
         self.late_share = 0.0
@@ -191,7 +193,7 @@
 
     def registration(self):
         self.seq += 1
-        return {"service": self.pool, "address": f"127.0.0.1:{self.port}", "zone": "z1", "version": "1", "slots": 8,
+        return {"service": self.pool, "address": f"{self.ip}:{SERVER_PORT}", "zone": "z1", "version": "1", "slots": 8,
                 "state": "ready", "cold-remaining-ms": 0, "seq": self.seq, "born": self.born, "machine": "m" + self.id,
                 "capacity": {"cpu": self.capacity, "mem-mb": 64000, "gpu": 0}, "labels": ["k1", "r1"],
                 "clock-ms": self.clock()}
