Do not wait for restarted hosts after a failure of the owner

Cause: hosts that were up before the first owner wait 0.4 s so that restarted ones go first. That is meant for rolling restarts, in which owners release their term, but it was applied to failures too. Change: the delay applies to released terms only. The failure timeout of 2.1 s, on which permissions rely, is unchanged.

--- a/src/manager/ownership.cpp
+++ b/src/manager/ownership.cpp
@@ -131,7 +131,7 @@
         static_cast<std::int64_t>(hash64(host_, static_cast<std::uint64_t>(row_.term)) %
                                   static_cast<std::uint64_t>(settings_.max_jitter.count())));
     const milliseconds rolling_restart_delay =
-        restarted_ || version_ == 0 ? milliseconds(0) : settings_.not_restarted_delay;
+        restarted_ || !row_.released ? milliseconds(0) : settings_.not_restarted_delay;
     const double shortfall = 1.0 - strength(hosts_.find(host_)->second);
     return jitter + rolling_restart_delay +
            milliseconds(static_cast<std::int64_t>(
--- a/src/manager/ownership.hpp
+++ b/src/manager/ownership.hpp
@@ -56,8 +56,8 @@
     milliseconds failure_timeout{2'100};
     /// Upper bound of the delay that spreads the hosts' takeover attempts.
     milliseconds max_jitter{300};
-    /// Additional delay of a host that has been up since before the first owner: a rolling restart
-    /// will reach it next, and ownership would move again.
+    /// Additional delay, after a planned stop of the owner, of a host that has been up since before
+    /// the first owner: a rolling restart will reach it next, and ownership would move again.
     milliseconds not_restarted_delay{400};
     /// Additional delay of a host, multiplied by the fraction of resources that it lacks compared
     /// with the strongest host, so that a strong host takes over first.
--- a/tests/manager/manager_test.cpp
+++ b/tests/manager/manager_test.cpp
@@ -87,6 +87,17 @@
     CHECK(first_old - start < milliseconds(500));
 }
 
+TEST_CASE("a takeover after a failure does not wait for restarted hosts", "[manager]")
+{
+    // Guards against 0.4 s more without an owner whenever no host has restarted.
+    ownership subject({}, "host-a", {});
+    subject.observe({}, 0, milliseconds(0), start);
+    subject.observe({"host-b", 1, false, milliseconds(0)}, 5, milliseconds(0), start);
+    const ownership_settings timing;
+    CHECK(subject.time_to_takeover(start) >= timing.failure_timeout);
+    CHECK(subject.time_to_takeover(start) <= timing.failure_timeout + timing.max_jitter);
+}
+
 TEST_CASE("the owner's row survives serialization and parsing", "[manager]")
 {
     const owner_row written{"host-a", 7, true, milliseconds(1'234)};
