Log and count refreshes of the waiting counts

The answer of GET on a queue showed neither how old its count was nor whether bringing it up to date had failed, so a wrong count could not be traced to the owner's row, to the change feed or to a failed read.

The host that refreshes its counts now logs the queue, the count, the covered version, the age before, the source and the outcome, and counts the outcomes in lacewingquay_count_refreshes_total. Answers do not change.

--- a/src/manager/job_api.cpp
+++ b/src/manager/job_api.cpp
@@ -252,36 +252,59 @@
 
 boost::asio::awaitable<http::response> job_api::show_waiting(job::queue queue)
 {
-    if (shared_.load.is_older_than(waiting_age_limit, shared_.now()) && !shared_.store_unavailable)
+    if (shared_.load.is_older_than(waiting_age_limit, shared_.now()))
     {
-        const std::int64_t from = shared_.load.covered_version();
-        const adapter::read_result changes =
-            co_await shared_.store.watch(jobs_table, from, milliseconds(0), read_timeout);
-        std::map<std::string, std::int64_t, std::less<>> added;
-        for (const adapter::row& row : changes.rows)
+        const milliseconds age = shared_.load.age(shared_.now());
+        std::string_view outcome = "store_unavailable";
+        if (!shared_.store_unavailable)
         {
-            if (row.removed || row.value.empty() || !row.key.starts_with(job_prefix))
-            {
-                continue;
-            }
-            const std::optional<job::parsed_record> record =
-                parse_or_log("job_unreadable", row.key, row.version,
-                             [&] { return job::parse_record(row.value); });
-            if (record)
-            {
-                ++added[record->header.source_queue.name];
-            }
-        }
-        if (changes.ok && shared_.load.covered_version() == from)
-        {
-            shared_.load.add_waiting(added, changes.version, shared_.now());
+            outcome = co_await add_new_jobs();
         }
+        shared_.daemon_metrics.observe_count_refresh(outcome);
+        log_event(log_level::info, "waiting_refreshed",
+                  {{"queue", queue.name},
+                   {"waiting", shared_.load.load_of(queue).waiting},
+                   {"covered_version", shared_.load.covered_version()},
+                   {"age_ms", age.count()},
+                   {"source", "feed"},
+                   {"outcome", outcome}});
     }
     co_return http::make_response(http::status::ok,
                                   R"({"waiting":)" +
                                       std::to_string(shared_.load.load_of(queue).waiting) + "}");
 }
 
+boost::asio::awaitable<std::string_view> job_api::add_new_jobs()
+{
+    const std::int64_t from = shared_.load.covered_version();
+    const adapter::read_result changes =
+        co_await shared_.store.watch(jobs_table, from, milliseconds(0), read_timeout);
+    if (!changes.ok)
+    {
+        co_return changes.history_lost ? "history_lost" : "read_failed";
+    }
+    std::map<std::string, std::int64_t, std::less<>> added;
+    for (const adapter::row& row : changes.rows)
+    {
+        if (row.removed || row.value.empty() || !row.key.starts_with(job_prefix))
+        {
+            continue;
+        }
+        const std::optional<job::parsed_record> record = parse_or_log(
+            "job_unreadable", row.key, row.version, [&] { return job::parse_record(row.value); });
+        if (record)
+        {
+            ++added[record->header.source_queue.name];
+        }
+    }
+    if (shared_.load.covered_version() != from)
+    {
+        co_return "superseded";
+    }
+    shared_.load.add_waiting(added, changes.version, shared_.now());
+    co_return "done";
+}
+
 boost::asio::awaitable<http::response> job_api::show(std::string id)
 {
     const std::optional<job::state> known = shared_.jobs.state_of(id);
--- a/src/manager/job_api.hpp
+++ b/src/manager/job_api.hpp
@@ -67,6 +67,8 @@
     /// Returns the error response if the job is not stored, or nothing if it is.
     boost::asio::awaitable<std::optional<http::response>> error_if_unknown(std::string id);
     boost::asio::awaitable<http::response> show_waiting(job::queue queue);
+    /// Adds the jobs that the counts of waiting jobs do not cover yet. Returns the outcome.
+    boost::asio::awaitable<std::string_view> add_new_jobs();
     boost::asio::awaitable<http::response> show(std::string id);
     boost::asio::awaitable<http::response> cancel(std::string id, steady_time deadline);
     void complete(pending_write& entry, adapter::commit_outcome outcome);
--- a/src/manager/load_summary.hpp
+++ b/src/manager/load_summary.hpp
@@ -50,9 +50,15 @@
     /// Jobs stored after this version are not included in the counts yet.
     [[nodiscard]] std::int64_t covered_version() const { return summary_.covered_version; }
 
-    [[nodiscard]] bool is_older_than(milliseconds age, steady_time now) const
+    /// Time since the counts were updated.
+    [[nodiscard]] milliseconds age(steady_time now) const
     {
-        return now - updated_ > age;
+        return std::chrono::duration_cast<milliseconds>(now - updated_);
+    }
+
+    [[nodiscard]] bool is_older_than(milliseconds limit, steady_time now) const
+    {
+        return now - updated_ > limit;
     }
 
 private:
--- a/src/manager/metrics.cpp
+++ b/src/manager/metrics.cpp
@@ -29,7 +29,11 @@
       job_times_(prometheus::BuildHistogram()
                      .Name("lacewingquay_job_seconds")
                      .Help("Time from a job's acceptance until its final state was stored.")
-                     .Register(registry_))
+                     .Register(registry_)),
+      count_refreshes_(prometheus::BuildCounter()
+                           .Name("lacewingquay_count_refreshes_total")
+                           .Help("Attempts to bring the counts of waiting jobs up to date.")
+                           .Register(registry_))
 {
 }
 
@@ -47,6 +51,11 @@
         .Observe(std::chrono::duration<double>(time).count());
 }
 
+void metrics::observe_count_refresh(std::string_view outcome)
+{
+    count_refreshes_.Add({{"outcome", std::string(outcome)}}).Increment();
+}
+
 void metrics::set(const std::string& name, const std::string& help, double value)
 {
     prometheus::Gauge*& gauge = gauges_[name];
