Count a job as waiting until a run of it has begun

Callers saw too few waiting jobs: jobs that no server had begun were missing from the count of their queue, for as long as they then had to wait.

A job left the count when a start was decided, not when a run began. If the start was refused, not answered or lost with a cut server, or if the owner died between the commit and the order, the job went back to the queue without being counted again, also not by the next owner, which read the state "running".

The scheduler now keeps apart that a job has begun. Only an accepted start, a run listed in a report or an end of a run sets this, and the waiting count uses it. It is a third field in the header of the progress row, written with the writes that happen anyway. A job that began after its last write is counted as waiting by a new owner until the first report of its server, so a count can be too high for a moment, but not too low. The state shown to callers does not change.

--- a/src/job/progress.cpp
+++ b/src/job/progress.cpp
@@ -1,5 +1,6 @@
 #include "job/progress.hpp"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
@@ -64,6 +65,13 @@
     return task.position.occurrence >= 0 && task.position.step >= 0 && task.position.index >= 0;
 }
 
+/// True if the stored progress of a task shows that one of its runs has begun. A run number alone
+/// does not, as it is stored before the start order is sent.
+bool has_begun(const task_progress& task)
+{
+    return task.done || task.failures > 0 || task.failed_run > 0 || !task.checkpoint.empty();
+}
+
 } // namespace
 
 std::string_view state_name(state value)
@@ -96,6 +104,7 @@
     std::string text(state_name(value.reported_state));
     text += ' ';
     text += std::to_string(value.ended.count());
+    text += value.begun ? " 1" : " 0";
     for (const task_progress& task : value.tasks)
     {
         text += '\n';
@@ -129,6 +138,14 @@
             input_error{"progress", std::string(header), "the time of the final state"});
     }
     result.ended = milliseconds(ended);
+    // Rows of an earlier version do not have this field.
+    int begun = 0;
+    const bool has_field = !header.empty();
+    if (has_field && !take_number(header, ' ', begun))
+    {
+        return boost::leaf::new_error(
+            input_error{"progress", std::string(header), "whether a task has begun"});
+    }
     while (!text.empty())
     {
         const std::string_view line = take_field(text, '\n');
@@ -140,6 +157,8 @@
         }
         result.tasks.push_back(std::move(task));
     }
+    result.begun =
+        has_field ? begun != 0 : std::any_of(result.tasks.begin(), result.tasks.end(), has_begun);
     return result;
 }
 
--- a/src/job/progress.hpp
+++ b/src/job/progress.hpp
@@ -56,6 +56,8 @@
     state reported_state = state::queued;
     /// When the job reached a final state, on the store's steady clock; zero before.
     milliseconds ended{0};
+    /// A run of one of its tasks is known to have begun.
+    bool begun = false;
     std::vector<task_progress> tasks;
 
     friend bool operator==(const progress&, const progress&) = default;
--- a/src/scheduler/load.hpp
+++ b/src/scheduler/load.hpp
@@ -17,7 +17,7 @@
 /// Load of one queue, reported to callers and used for admission.
 struct queue_load
 {
-    /// Accepted jobs none of whose tasks has started.
+    /// Accepted jobs none of whose tasks is known to have started.
     std::int64_t waiting = 0;
     /// Estimated time in which the queue's pool completes the work that precedes a new job of the
     /// queue. Work that can no longer be on time is not counted.
@@ -47,7 +47,7 @@
 /// is kept per pool.
 struct load_report
 {
-    /// Jobs none of whose tasks has started, by queue; queues without any are omitted.
+    /// Jobs none of whose tasks is known to have started, by queue; queues without any are omitted.
     std::map<std::string, std::int64_t, std::less<>> waiting;
     /// Backlog by pool and queue priority; priorities without work are omitted.
     std::map<std::string, std::map<int, backlog>, std::less<>> pools;
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -120,6 +120,7 @@
 {
     job.reported_state = stored.reported_state;
     job.ended = stored.ended;
+    job.begun = stored.begun;
     for (const job::task_progress& saved : stored.tasks)
     {
         while (job.next_occurrence <= saved.position.occurrence &&
@@ -364,6 +365,7 @@
     {
         return;
     }
+    ref.job->begun = true;
     task_state& task = ref.task();
     const job::step& step = ref.definition();
     const bool current = task.server == &server && task.run == ended.run && has_run(task);
--- a/src/scheduler/scheduler_batch.cpp
+++ b/src/scheduler/scheduler_batch.cpp
@@ -58,6 +58,7 @@
     job::progress result;
     result.reported_state = job.reported_state;
     result.ended = job.ended;
+    result.begun = job.begun;
     const bool ended = job::is_final(job.reported_state);
     for (const occurrence_state& occurrence : job.occurrences)
     {
--- a/src/scheduler/scheduler_load.cpp
+++ b/src/scheduler/scheduler_load.cpp
@@ -119,7 +119,7 @@
     for (const auto& entry : jobs_)
     {
         const job_state& job = *entry.second;
-        if (job.reported_state == job::state::queued)
+        if (!job.begun && !job::is_final(job.reported_state))
         {
             ++result.waiting[job.record.queue.name];
         }
--- a/src/scheduler/scheduler_reports.cpp
+++ b/src/scheduler/scheduler_reports.cpp
@@ -54,6 +54,10 @@
     {
         task_ref ref;
         const bool known = find_task(entry.task, ref);
+        if (known)
+        {
+            ref.job->begun = true;
+        }
         task_state* task = known ? &ref.task() : nullptr;
         if (task == nullptr || task->server != &server || task->run != entry.run ||
             task->phase == task_phase::assigned)
@@ -126,7 +130,12 @@
     using worker::order_outcome;
     task_ref ref;
     server_state* server = find_server(order.server);
-    if (!find_task(order.task, ref) || server == nullptr)
+    if (!find_task(order.task, ref))
+    {
+        return;
+    }
+    ref.job->begun = ref.job->begun || outcome == order_outcome::accepted;
+    if (server == nullptr)
     {
         return;
     }
--- a/src/scheduler/state.hpp
+++ b/src/scheduler/state.hpp
@@ -113,6 +113,9 @@
     std::chrono::milliseconds allowed{0};
     job::state reported_state = job::state::queued;
     std::chrono::milliseconds ended{0};
+    /// A run of one of its tasks is known to have begun. Unlike `reported_state`, it does not
+    /// change when a start is merely decided.
+    bool begun = false;
     std::vector<occurrence_state> occurrences;
     /// Number of the next occurrence to create, for periodic jobs.
     int next_occurrence = 0;
--- a/tests/job/job_test.cpp
+++ b/tests/job/job_test.cpp
@@ -27,6 +27,7 @@
     progress value;
     value.reported_state = static_cast<state>(*rc::gen::inRange(0, 5));
     value.ended = milliseconds(*rc::gen::inRange(0, 1'000'000));
+    value.begun = *rc::gen::arbitrary<bool>();
     const int count = *rc::gen::inRange(0, 20);
     for (int index = 0; index < count; ++index)
     {
@@ -59,6 +60,23 @@
              });
 }
 
+TEST_CASE("progress stored by an earlier version shows a job as begun only if its tasks prove it",
+          "[job]")
+{
+    const auto begun = [](const std::string& text)
+    {
+        const std::optional<progress> read = parsed<progress>([&] { return parse_progress(text); });
+        REQUIRE(read);
+        return read->begun;
+    };
+    CHECK_FALSE(begun("queued 0"));
+    CHECK_FALSE(begun("running 0\n0.0.0 0 1 0 0 i-1 5 -"));
+    CHECK(begun("running 0\n0.0.0 1 1 0 0 - 0 -"));
+    CHECK(begun("running 0\n0.0.0 0 2 1 1 i-1 5 -"));
+    CHECK(begun("running 0\n0.0.0 0 2 0 0 i-1 5 00ab"));
+    CHECK_FALSE(parsed<progress>([] { return parse_progress("running 0 x"); }));
+}
+
 TEST_CASE("corrupt progress is rejected or parsed, but never crashes the parser", "[job]")
 {
     rc::prop("random bytes",
--- a/tests/scheduler/scheduler_simulation.cpp
+++ b/tests/scheduler/scheduler_simulation.cpp
@@ -175,6 +175,27 @@
         }
     }
     last_start_[task] = now_;
+    begun_.insert(task.job);
+}
+
+void scheduler_simulation::check_waiting_count()
+{
+    std::int64_t expected = 0;
+    for (const std::string& id : known_to_owner_)
+    {
+        expected += begun_.contains(id) || cancelled_.contains(id) ? 0 : 1;
+    }
+    std::int64_t counted = 0;
+    for (const auto& entry : owner_->load(now_).waiting)
+    {
+        counted += entry.second;
+    }
+    const std::string text = std::to_string(counted) + " jobs are counted as waiting, " +
+                             std::to_string(expected) + " have not begun";
+    if (counted < expected && (violations_.empty() || violations_.back() != text))
+    {
+        record_violation(text);
+    }
 }
 
 worker::order_outcome scheduler_simulation::start(const worker::start_order& order,
@@ -540,6 +561,7 @@
         owner_->stop_answered(order, stop(order, term_), now_);
     }
     commit();
+    check_waiting_count();
 }
 
 void scheduler_simulation::run(milliseconds time)
--- a/tests/scheduler/scheduler_simulation.hpp
+++ b/tests/scheduler/scheduler_simulation.hpp
@@ -47,7 +47,7 @@
 
 /// Simulates backend servers, a store and successive owners in simulated time. Checks on every
 /// start and acknowledgement that no task runs twice at once, before the steps it depends on, after
-/// its end or beyond its attempts.
+/// its end or beyond its attempts; and in every step that the count of waiting jobs omits none.
 class scheduler_simulation
 {
 public:
@@ -125,6 +125,8 @@
     void end_run(fake_server& server, const worker::task_name& task, worker::end_kind kind);
     void acknowledge_ends(fake_server& server, std::int64_t number);
     void check_start(const worker::start_order& order);
+    /// Checks that the owner counts every job as waiting that no server has begun.
+    void check_waiting_count();
     void record_violation(const std::string& text);
     [[nodiscard]] bool chance(double probability);
     [[nodiscard]] bool reachable(const fake_server& server) const;
@@ -140,6 +142,8 @@
     std::map<std::string, job::record> jobs_;
     std::map<std::string, std::string> progress_;
     std::set<std::string> cancelled_;
+    /// Jobs of which a server has started a task.
+    std::set<std::string> begun_;
     std::set<std::string> known_to_owner_;
     std::vector<delayed_start> delayed_starts_;
     /// Time and server of each end as done.
