Measure the age of waiting counts from what they cover

Callers could get a count that omitted jobs accepted long before: a host took its count as current for 1.5 s from when it had read the owner's row. An owner whose feed of new jobs lagged renewed the row with old contents, and a host that had just started took the row of an owner that had died as new.

The cause is that the age was measured from the arrival of the row, and the row did not say what it covered.

The feed now tells after each successful call up to which version and store time it has delivered all changes; a full read is as old as its first page. The owner puts both into its row, and hosts compute the age on the store's clock. A row of an earlier version has no such time, so its counts are brought up to date from its covered version before each use. As calls without changes advance the covered version too, it no longer falls out of the store's history while no job arrives. The owner's long poll for new jobs is shortened to 300 ms, as its length adds to the age.

--- a/src/manager/daemon.cpp
+++ b/src/manager/daemon.cpp
@@ -235,7 +235,7 @@
                     "load_unreadable", row.key, row.version, [&] { return parse_load(row.value); });
                 if (summary)
                 {
-                    shared_.load.observe(std::move(*summary), row.version, shared_.now());
+                    shared_.load.observe(std::move(*summary), row.version);
                 }
             }
             else if (row.key.starts_with(host_prefix))
--- a/src/manager/feed.cpp
+++ b/src/manager/feed.cpp
@@ -86,6 +86,9 @@
             // The feed continues from the earliest read, so that no later change is missed.
             result.version =
                 result.version == 0 ? page.version : std::min(result.version, page.version);
+            result.store_time = result.store_time.count() == 0
+                                    ? page.store_time
+                                    : std::min(result.store_time, page.store_time);
             is_first = false;
         }
         more = page.has_more && !page.rows.empty();
@@ -158,7 +161,9 @@
             }
             has_snapshot = true;
             version = snapshot.version;
-            feed.apply({snapshot.rows, true, version});
+            const feed_position position{version, snapshot.store_time};
+            feed.apply({snapshot.rows, true, position});
+            feed.advanced(position);
             feed.after_call(true);
         }
         const milliseconds call_pause = feed.pause();
@@ -188,10 +193,12 @@
         }
         shared.update_store_time(changes.store_time);
         version = std::max(version, changes.version);
+        const feed_position position{version, changes.store_time};
         if (!changes.rows.empty())
         {
-            feed.apply({changes.rows, false, version});
+            feed.apply({changes.rows, false, position});
         }
+        feed.advanced(position);
         feed.after_call(true);
     }
 }
--- a/src/manager/feed.hpp
+++ b/src/manager/feed.hpp
@@ -12,14 +12,23 @@
 namespace lacewingquay::manager
 {
 
+/// How far a feed has been delivered.
+struct feed_position
+{
+    /// All changes up to this version have been delivered.
+    std::int64_t version = 0;
+    /// All changes before this time have been delivered; on the store's steady clock.
+    milliseconds store_time{0};
+};
+
 /// A set of row changes of a table.
 struct table_changes
 {
     const std::vector<adapter::row>& rows;
     /// The rows come from a full read: rows that are not listed do not exist.
     bool is_snapshot = false;
-    /// All changes up to this version have been delivered.
-    std::int64_t version = 0;
+    /// Position of the feed after these changes.
+    feed_position position;
 };
 
 /// Parameters and callbacks of `follow_table`.
@@ -35,6 +44,9 @@
     std::function<milliseconds()> pause;
     /// Receives the rows of a full read, then changed rows in order. Rows may be repeated.
     std::function<void(const table_changes& changes)> apply;
+    /// Called after each successful call, also one without changes.
+    std::function<void(const feed_position& position)> advanced = [](const feed_position&) {
+    };
     /// Called after each call to the store with whether it succeeded.
     std::function<void(bool answered)> after_call;
     /// The feed ends once this returns true.
@@ -47,6 +59,8 @@
     bool ok = false;
     std::vector<adapter::row> rows;
     std::int64_t version = 0;
+    /// Rows stored before this time are included; on the store's steady clock.
+    milliseconds store_time{0};
 };
 
 /// Reads all pages of all partitions of a table.
--- a/src/manager/job_api.cpp
+++ b/src/manager/job_api.cpp
@@ -252,9 +252,9 @@
 
 boost::asio::awaitable<http::response> job_api::show_waiting(job::queue queue)
 {
-    if (shared_.load.is_older_than(waiting_age_limit, shared_.now()))
+    if (shared_.load.is_older_than(waiting_age_limit, shared_.store_time()))
     {
-        const milliseconds age = shared_.load.age(shared_.now());
+        const std::optional<milliseconds> age = shared_.load.age(shared_.store_time());
         std::string_view outcome = "store_unavailable";
         if (!shared_.store_unavailable)
         {
@@ -265,7 +265,7 @@
                   {{"queue", queue.name},
                    {"waiting", shared_.load.load_of(queue).waiting},
                    {"covered_version", shared_.load.covered_version()},
-                   {"age_ms", age.count()},
+                   {"age_ms", age.value_or(milliseconds(-1)).count()},
                    {"source", "feed"},
                    {"outcome", outcome}});
     }
@@ -301,7 +301,8 @@
     {
         co_return "superseded";
     }
-    shared_.load.add_waiting(added, changes.version, shared_.now());
+    shared_.update_store_time(changes.store_time);
+    shared_.load.add_waiting(added, changes.version, changes.store_time);
     co_return "done";
 }
 
--- a/src/manager/load_summary.cpp
+++ b/src/manager/load_summary.cpp
@@ -41,6 +41,7 @@
         pools[entry.first] = std::move(levels);
     }
     return boost::json::serialize(boost::json::object{{"covered_version", value.covered_version},
+                                                      {"complete_at_ms", value.complete_at.count()},
                                                       {"waiting", std::move(waiting)},
                                                       {"pools", std::move(pools)}});
 }
@@ -52,6 +53,9 @@
     json_reader reader(body, "load");
     load_summary result;
     BOOST_LEAF_ASSIGN(result.covered_version, reader.integer("covered_version", 0, max_value));
+    // Hosts of an earlier version do not store this field.
+    BOOST_LEAF_AUTO(complete_at, reader.integer_or("complete_at_ms", 0, 0, max_value));
+    result.complete_at = milliseconds(complete_at);
     BOOST_LEAF_AUTO(waiting, reader.object("waiting"));
     json_reader counts(*waiting, "load.waiting");
     for (const boost::json::key_value_pair& entry : *waiting)
@@ -86,7 +90,7 @@
     return result;
 }
 
-void load_tracker::observe(load_summary summary, std::int64_t row_version, steady_time now)
+void load_tracker::observe(load_summary summary, std::int64_t row_version)
 {
     if (row_version < row_version_)
     {
@@ -94,18 +98,26 @@
     }
     row_version_ = row_version;
     summary_ = std::move(summary);
-    updated_ = now;
 }
 
 void load_tracker::add_waiting(const std::map<std::string, std::int64_t, std::less<>>& queues,
-                               std::int64_t version, steady_time now)
+                               std::int64_t version, milliseconds store_time)
 {
     for (const auto& entry : queues)
     {
         summary_.load.waiting[entry.first] += entry.second;
     }
     summary_.covered_version = std::max(summary_.covered_version, version);
-    updated_ = now;
+    summary_.complete_at = std::max(summary_.complete_at, store_time);
+}
+
+std::optional<milliseconds> load_tracker::age(milliseconds store_time) const
+{
+    if (summary_.complete_at.count() == 0)
+    {
+        return std::nullopt;
+    }
+    return std::max(milliseconds(0), store_time - summary_.complete_at);
 }
 
 } // namespace lacewingquay::manager
--- a/src/manager/load_summary.hpp
+++ b/src/manager/load_summary.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -19,6 +20,8 @@
 {
     /// Jobs stored with a later version than this are not included.
     std::int64_t covered_version = 0;
+    /// All jobs stored before this time are included; on the store's steady clock. Zero if unknown.
+    milliseconds complete_at{0};
     scheduler::load_report load;
 };
 
@@ -35,11 +38,12 @@
 {
 public:
     /// Takes a summary of the owner; ignored if its row is older than the latest one.
-    void observe(load_summary summary, std::int64_t row_version, steady_time now);
+    void observe(load_summary summary, std::int64_t row_version);
 
     /// Adds jobs, counted by queue, that were stored after the owner's summary and up to `version`.
+    /// They were read from the store at `store_time`.
     void add_waiting(const std::map<std::string, std::int64_t, std::less<>>& queues,
-                     std::int64_t version, steady_time now);
+                     std::int64_t version, milliseconds store_time);
 
     /// Load of a queue.
     [[nodiscard]] scheduler::queue_load load_of(const job::queue& queue) const
@@ -50,21 +54,17 @@
     /// Jobs stored after this version are not included in the counts yet.
     [[nodiscard]] std::int64_t covered_version() const { return summary_.covered_version; }
 
-    /// Time since the counts were updated.
-    [[nodiscard]] milliseconds age(steady_time now) const
-    {
-        return std::chrono::duration_cast<milliseconds>(now - updated_);
-    }
+    /// Time since the counts were complete, however they reached this host; none if unknown.
+    [[nodiscard]] std::optional<milliseconds> age(milliseconds store_time) const;
 
-    [[nodiscard]] bool is_older_than(milliseconds limit, steady_time now) const
+    [[nodiscard]] bool is_older_than(milliseconds limit, milliseconds store_time) const
     {
-        return now - updated_ > limit;
+        return age(store_time).value_or(milliseconds::max()) > limit;
     }
 
 private:
     load_summary summary_;
     std::int64_t row_version_ = 0;
-    steady_time updated_{};
 };
 
 } // namespace lacewingquay::manager
--- a/src/manager/owner_session.cpp
+++ b/src/manager/owner_session.cpp
@@ -3,7 +3,6 @@
 #include "core/log.hpp"
 #include "core/parse_or_log.hpp"
 #include "job/record_text.hpp"
-#include "manager/feed.hpp"
 #include "platform/decode.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -35,6 +34,9 @@
 constexpr milliseconds load_retry_pause{100};
 /// Pause between reads of new jobs, so that jobs that arrive together are read together.
 constexpr milliseconds jobs_read_interval{5};
+/// Bound of one long poll for new jobs. Without new jobs, the counts of waiting jobs that hosts
+/// read are older by this.
+constexpr milliseconds max_jobs_wait{300};
 /// Pause between reads of server registrations.
 constexpr milliseconds servers_read_interval{100};
 /// Ended jobs are cleaned up in batches; the only cost of leftover rows is a slower takeover.
@@ -152,6 +154,10 @@
     const std::shared_ptr<owner_session> self = shared_from_this();
     feed_settings feed;
     feed.table = std::string(jobs_table);
+    feed.max_wait = []
+    {
+        return max_jobs_wait;
+    };
     feed.pause = []
     {
         return jobs_read_interval;
@@ -165,12 +171,16 @@
             self->apply_servers(self->stored_servers_, true);
         }
         self->apply_jobs(changes.rows);
-        self->covered_version_ = changes.version;
+        self->covered_ = changes.position;
         if (!self->loaded_)
         {
             self->start_scheduling();
         }
     };
+    feed.advanced = [self](const feed_position& position)
+    {
+        self->covered_ = position;
+    };
     feed.after_call = [](bool) {
     };
     feed.is_ended = [self]
@@ -300,6 +310,11 @@
     wake_timer_.cancel();
 }
 
+load_summary owner_session::current_load() const
+{
+    return {covered_.version, covered_.store_time, scheduler_.load(shared_.now())};
+}
+
 adapter::transaction owner_session::make_transaction(const scheduler::batch& work, bool renew,
                                                      const std::vector<std::string>& expired) const
 {
@@ -315,8 +330,7 @@
             {std::string(owner_table), std::string(owner_key),
              serialize_owner({shared_.config.host, term_, releasing_, shared_.store_time()})});
         result.writes.push_back(
-            {std::string(owner_table), std::string(load_key),
-             serialize_load({covered_version_, scheduler_.load(shared_.now())})});
+            {std::string(owner_table), std::string(load_key), serialize_load(current_load())});
     }
     for (const std::string& id : expired)
     {
@@ -339,7 +353,7 @@
         {
             owner_version_ = result.version;
             last_renewal_ = now;
-            shared_.load.observe({covered_version_, scheduler_.load(now)}, result.version, now);
+            shared_.load.observe(current_load(), result.version);
         }
         for (const scheduler::progress_write& write : work.writes)
         {
--- a/src/manager/owner_session.hpp
+++ b/src/manager/owner_session.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "manager/context.hpp"
+#include "manager/feed.hpp"
 #include "manager/order_permission.hpp"
 #include "platform/store.hpp"
 #include "scheduler/scheduler.hpp"
@@ -89,6 +90,7 @@
     void apply_job(const adapter::row& row);
     void start_scheduling();
     void send_orders(const scheduler::batch& work);
+    [[nodiscard]] load_summary current_load() const;
     adapter::transaction make_transaction(const scheduler::batch& work, bool renew,
                                           const std::vector<std::string>& expired) const;
     bool apply_commit_result(const scheduler::batch& work, const adapter::commit_result& result,
@@ -103,8 +105,8 @@
     /// Rows read before the jobs during a takeover; empty afterwards.
     std::map<std::string, adapter::row> stored_progress_;
     std::vector<adapter::row> stored_servers_;
-    /// The scheduler knows all jobs stored up to this version.
-    std::int64_t covered_version_ = 0;
+    /// The scheduler knows all jobs stored up to here.
+    feed_position covered_;
     bool loaded_ = false;
     bool ended_ = false;
     bool releasing_ = false;
--- a/tests/manager/feed_test.cpp
+++ b/tests/manager/feed_test.cpp
@@ -25,12 +25,17 @@
     /// Feeds that start before this version are refused.
     std::int64_t oldest_history = 0;
     int full_reads = 0;
+    /// Added to the store's clock with each answer.
+    std::int64_t clock_step = 0;
 
     void write(const std::string& part, const std::string& key)
     {
         rows_.push_back({part, key, ++version_});
     }
 
+    /// Another table changes.
+    void write_elsewhere() { ++version_; }
+
     http::response handle(const http::request& received)
     {
         const std::string target(received.target());
@@ -62,8 +67,9 @@
     }
 
     template <typename Filter>
-    [[nodiscard]] http::response rows(Filter&& filter) const
+    [[nodiscard]] http::response rows(Filter&& filter)
     {
+        clock_ += clock_step;
         boost::json::array listed;
         for (const entry& row : rows_)
         {
@@ -77,16 +83,26 @@
             }
         }
         return http::make_response(
-            http::status::ok, boost::json::serialize(boost::json::object{
-                                  {"rows", listed}, {"row-version", version_}, {"now-ms", 1'000}}));
+            http::status::ok,
+            boost::json::serialize(boost::json::object{
+                {"rows", listed}, {"row-version", version_}, {"now-ms", clock_}}));
     }
 
     std::vector<entry> rows_;
     std::int64_t version_ = 0;
+    std::int64_t clock_ = 1'000;
 };
 
-/// Follows the jobs table of `store` until `expected` keys were delivered, or for one second.
-std::vector<std::string> follow(fake_store& store, std::size_t expected)
+/// What a feed has delivered.
+struct followed
+{
+    std::vector<std::string> keys;
+    std::vector<feed_position> positions;
+};
+
+/// Follows the jobs table of `store` until `is_complete`, or for one second.
+followed follow_until(fake_store& store,
+                      const std::function<bool(const followed& delivered)>& is_complete)
 {
     boost::asio::io_context io;
     settings values;
@@ -103,7 +119,7 @@
         [] { return std::shared_ptr<http::server>(); });
     REQUIRE(server != nullptr);
     context shared(values, io);
-    std::vector<std::string> delivered;
+    followed delivered;
     const steady_time deadline = shared.now() + std::chrono::seconds(1);
     feed_settings feed;
     feed.table = std::string(jobs_table);
@@ -119,14 +135,18 @@
     {
         for (const adapter::row& row : changes.rows)
         {
-            delivered.push_back(row.key);
+            delivered.keys.push_back(row.key);
         }
     };
+    feed.advanced = [&](const feed_position& position)
+    {
+        delivered.positions.push_back(position);
+    };
     feed.after_call = [](bool) {
     };
     feed.is_ended = [&]
     {
-        return delivered.size() >= expected || shared.now() > deadline;
+        return is_complete(delivered) || shared.now() > deadline;
     };
     test::run(io,
               [&]() -> boost::asio::awaitable<bool>
@@ -137,6 +157,14 @@
     return delivered;
 }
 
+/// Follows the jobs table of `store` until `expected` keys were delivered, or for one second.
+std::vector<std::string> follow(fake_store& store, std::size_t expected)
+{
+    return follow_until(store, [expected](const followed& delivered)
+                        { return delivered.keys.size() >= expected; })
+        .keys;
+}
+
 } // namespace
 
 TEST_CASE("a job stored during a full read of the table is delivered after it", "[manager]")
@@ -171,3 +199,29 @@
     CHECK(delivered.size() >= 2);
     CHECK(store.full_reads >= 8);
 }
+
+TEST_CASE("a feed without changes advances, and a full read is as old as its first page",
+          "[manager]")
+{
+    // Guards against positions that stay behind while nothing changes, until their history is
+    // dropped, and against counts that pass as newer than what they cover.
+    fake_store store;
+    store.clock_step = 10;
+    store.before_read = [](std::string_view) {
+    };
+    store.write("j0", "j/a");
+    const followed delivered = follow_until(store,
+                                            [&](const followed& current)
+                                            {
+                                                if (current.positions.size() == 2)
+                                                {
+                                                    store.write_elsewhere();
+                                                }
+                                                return current.positions.size() >= 4;
+                                            });
+    REQUIRE(delivered.positions.size() >= 4);
+    CHECK(delivered.positions[0].store_time == milliseconds(1'010));
+    CHECK(delivered.positions[1].store_time > milliseconds(1'010 + 31 * 10));
+    CHECK(delivered.positions[2].store_time > delivered.positions[1].store_time);
+    CHECK(delivered.positions[3].version > delivered.positions[1].version);
+}
--- a/tests/manager/job_api_test.cpp
+++ b/tests/manager/job_api_test.cpp
@@ -77,8 +77,8 @@
         config.version = 1;
         config.queues.push_back({"h/q/", "h", "/q/", "pool"});
         shared->current = std::make_shared<configuration>(config);
-        shared->load.observe({1, {{}, {{"pool", {{0, {drain, 40'000, drain}}}}}}}, 1,
-                             shared->now());
+        shared->load.observe(
+            {1, milliseconds(1'000), {{}, {{"pool", {{0, {drain, 40'000, drain}}}}}}}, 1);
         callers = std::make_unique<job_api>(*shared);
         callers->start();
     }
--- a/tests/manager/manager_test.cpp
+++ b/tests/manager/manager_test.cpp
@@ -163,26 +163,42 @@
     {
         return tracker.load_of({name, "h", "/", "pool"}).waiting;
     };
-    tracker.observe({100, {{{"q1", 4}}, {}}}, 7, start);
-    CHECK_FALSE(tracker.is_older_than(milliseconds(1'500), start + milliseconds(700)));
-    CHECK(tracker.is_older_than(milliseconds(1'500), start + milliseconds(1'600)));
-    tracker.add_waiting({{"q1", 2}, {"q2", 1}}, 120, start + milliseconds(1'600));
+    tracker.observe({100, milliseconds(9'000), {{{"q1", 4}}, {}}}, 7);
+    CHECK_FALSE(tracker.is_older_than(milliseconds(1'500), milliseconds(9'700)));
+    CHECK(tracker.is_older_than(milliseconds(1'500), milliseconds(10'600)));
+    tracker.add_waiting({{"q1", 2}, {"q2", 1}}, 120, milliseconds(10'600));
+    CHECK_FALSE(tracker.is_older_than(milliseconds(1'500), milliseconds(12'000)));
     CHECK(waiting("q1") == 6);
     CHECK(waiting("q2") == 1);
     CHECK(waiting("q3") == 0);
     CHECK(tracker.covered_version() == 120);
     // An older row of the owner is ignored; a newer one replaces the added counts.
-    tracker.observe({90, {{{"q1", 1}}, {}}}, 6, start + milliseconds(1'700));
+    tracker.observe({90, milliseconds(8'000), {{{"q1", 1}}, {}}}, 6);
     CHECK(waiting("q1") == 6);
-    tracker.observe({130, {{{"q1", 5}}, {}}}, 9, start + milliseconds(1'800));
+    tracker.observe({130, milliseconds(10'800), {{{"q1", 5}}, {}}}, 9);
     CHECK(waiting("q1") == 5);
     CHECK(waiting("q2") == 0);
 }
 
+TEST_CASE("renewals by an owner that lags behind the new jobs do not make its counts current",
+          "[manager]")
+{
+    load_tracker tracker;
+    CHECK(tracker.is_older_than(milliseconds(1'500), milliseconds(100)));
+    for (int renewal = 0; renewal < 5; ++renewal)
+    {
+        tracker.observe({100, milliseconds(9'000), {{{"q1", 4}}, {}}}, 7 + renewal);
+        const milliseconds store_time = milliseconds(9'000) + renewal * milliseconds(700);
+        CHECK(tracker.age(store_time) == renewal * milliseconds(700));
+    }
+    CHECK(tracker.is_older_than(milliseconds(1'500), milliseconds(11'800)));
+}
+
 TEST_CASE("a load summary survives serialization and parsing, and a malformed one is refused",
           "[manager]")
 {
     const load_summary written{42,
+                               milliseconds(7'000),
                                {{{"host/a/", 3}, {"host/b/", 70'000}},
                                 {{"pool-a",
                                   {{0, {milliseconds(900), 40'000, milliseconds(2'000)}},
@@ -191,6 +207,7 @@
         "load_unreadable", "load", 1, [&] { return parse_load(serialize_load(written)); });
     REQUIRE(read);
     CHECK(read->covered_version == 42);
+    CHECK(read->complete_at == milliseconds(7'000));
     CHECK(read->load == written.load);
     CHECK(read->load.of({"q", "h", "/", "pool-a", 2}).drain == milliseconds(900));
     CHECK(read->load.of({"q", "h", "/", "pool-a", 5}).drain == milliseconds(4'000));
@@ -226,7 +243,7 @@
         owner.add_job(std::move(record), nullptr, {}, start);
     }
     owner.configure(config);
-    CHECK(serialize_load({1, owner.load(start)}).size() < row_limit);
+    CHECK(serialize_load({1, milliseconds(1), owner.load(start)}).size() < row_limit);
 }
 
 TEST_CASE("a host with more resources takes over before one with less", "[manager]")
--- /dev/null
+++ b/tests/manager/waiting_counts_test.cpp
@@ -0,0 +1,220 @@
+#include "core/base64.hpp"
+#include "http/server.hpp"
+#include "job/record_text.hpp"
+#include "manager/job_api.hpp"
+#include "platform/loopback.hpp"
+
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace lacewingquay;
+using namespace lacewingquay::manager;
+
+namespace
+{
+
+const job::queue tested_queue{"h/q/", "h", "/q/", "pool"};
+
+/// An in-memory store with the reads that counts of waiting jobs need.
+class fake_store
+{
+public:
+    /// Feeds that start before this version are refused.
+    std::int64_t oldest_history = 0;
+    bool answers_feeds = true;
+    bool answers_reads = true;
+    int feeds = 0;
+    int reads = 0;
+    milliseconds now{20'000};
+    std::function<void()> before_feed = [] {
+    };
+
+    void write(const std::string& table, const std::string& key, const std::string& value)
+    {
+        rows_.push_back({table, key, value, ++version_});
+    }
+
+    void add_job(const std::string& id)
+    {
+        write("jobs", "j/" + id, job::serialize_record({tested_queue, milliseconds(1)}, "{}"));
+    }
+
+    http::response handle(const http::request& received)
+    {
+        const std::string target(received.target());
+        const std::string table = value_of(target, "table");
+        if (target.find("rows-feed") != std::string::npos)
+        {
+            ++feeds;
+            before_feed();
+            const std::int64_t after = std::stoll(value_of(target, "after"));
+            if (after < oldest_history || !answers_feeds)
+            {
+                return http::make_response(
+                    answers_feeds ? http::status::gone : http::status::service_unavailable, "{}");
+            }
+            return rows([&](const entry& row)
+                        { return row.table == table && row.version > after; });
+        }
+        ++reads;
+        if (!answers_reads)
+        {
+            return http::make_response(http::status::service_unavailable, "{}");
+        }
+        const std::string part = value_of(target, "part");
+        return rows(
+            [&](const entry& row)
+            { return row.table == table && adapter::store::part_of(table, row.key) == part; });
+    }
+
+private:
+    struct entry
+    {
+        std::string table;
+        std::string key;
+        std::string value;
+        std::int64_t version = 0;
+    };
+
+    static std::string value_of(const std::string& target, const std::string& name)
+    {
+        const std::size_t begin = target.find(name + "=") + name.size() + 1;
+        return target.substr(begin, target.find('&', begin) - begin);
+    }
+
+    template <typename Filter>
+    [[nodiscard]] http::response rows(Filter&& filter) const
+    {
+        boost::json::array listed;
+        for (const entry& row : rows_)
+        {
+            if (filter(row))
+            {
+                listed.emplace_back(boost::json::object{{"table", row.table},
+                                                        {"key", row.key},
+                                                        {"value", base64_encode(row.value)},
+                                                        {"row-version", row.version}});
+            }
+        }
+        return http::make_response(
+            http::status::ok,
+            boost::json::serialize(boost::json::object{
+                {"rows", std::move(listed)}, {"row-version", version_}, {"now-ms", now.count()}}));
+    }
+
+    std::vector<entry> rows_;
+    std::int64_t version_ = 0;
+};
+
+/// An entry host with one queue that follows no table.
+struct entry_host
+{
+    explicit entry_host(fake_store& store)
+    {
+        settings values;
+        values.host = "host-a";
+        values.store = test::free_address();
+        server = boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<std::shared_ptr<http::server>>
+            {
+                return http::server::listen(
+                    io.get_executor(), values.store, {},
+                    [&](http::request received) -> boost::asio::awaitable<http::response>
+                    { co_return store.handle(received); });
+            },
+            [] { return std::shared_ptr<http::server>(); });
+        REQUIRE(server != nullptr);
+        shared = std::make_unique<context>(values, io);
+        configuration config;
+        config.version = 1;
+        config.queues.push_back(tested_queue);
+        shared->current = std::make_shared<configuration>(config);
+        shared->update_store_time(store.now);
+        callers = std::make_unique<job_api>(*shared);
+        callers->start();
+    }
+
+    /// Delivers the owner's load row, which may have been written long ago.
+    void deliver(const std::string& text, std::int64_t row_version)
+    {
+        boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<void>
+            {
+                BOOST_LEAF_AUTO(summary, parse_load(text));
+                shared->load.observe(std::move(summary), row_version);
+                return {};
+            },
+            [] { FAIL("the load row cannot be read"); });
+    }
+
+    [[nodiscard]] http::request question() const
+    {
+        http::request message = http::make_request(http::method::get, "/q/", "");
+        message.set(boost::beast::http::field::host, "h");
+        message.set("Deadline-Ms", "3000");
+        return message;
+    }
+
+    http::response ask() { return test::run(io, callers->handle(question())); }
+
+    boost::asio::io_context io;
+    std::shared_ptr<http::server> server;
+    std::unique_ptr<context> shared;
+    std::unique_ptr<job_api> callers;
+};
+
+std::string count(std::int64_t value)
+{
+    return R"({"waiting":)" + std::to_string(value) + "}";
+}
+
+/// Load row without waiting jobs that covers version 1, complete at `complete_at`.
+std::string load_row(milliseconds complete_at)
+{
+    return R"({"covered_version":1,"complete_at_ms":)" + std::to_string(complete_at.count()) +
+           R"(,"waiting":{},"pools":{}})";
+}
+
+void add_three_jobs(fake_store& store)
+{
+    store.write("op", "config", "{}");
+    store.add_job("00000000000000a1");
+    store.add_job("00000000000000a2");
+    store.add_job("00000000000000a3");
+}
+
+} // namespace
+
+TEST_CASE("a load row that arrives late does not make its counts current", "[manager]")
+{
+    fake_store store;
+    add_three_jobs(store);
+    entry_host host(store);
+    host.deliver(load_row(store.now - milliseconds(6'000)), 1);
+    CHECK(host.ask().body() == count(3));
+}
+
+TEST_CASE("a load row that does not tell its age is brought up to date before it is used",
+          "[manager]")
+{
+    fake_store store;
+    add_three_jobs(store);
+    entry_host host(store);
+    host.deliver(R"({"covered_version":1,"waiting":{},"pools":{}})", 1);
+    CHECK(host.ask().body() == count(3));
+}
+
+TEST_CASE("counts that were complete a moment ago are answered without a read", "[manager]")
+{
+    fake_store store;
+    add_three_jobs(store);
+    entry_host host(store);
+    host.deliver(load_row(store.now - milliseconds(500)), 1);
+    CHECK(host.ask().body() == count(0));
+    CHECK(store.feeds + store.reads == 0);
+}
