Refuse counts of waiting jobs that cannot be brought up to date

A host whose refresh failed answered its old count without a sign of it, or 0 if it had just started: when the store had dropped the history of new jobs, when the read failed, and when the owner's row changed during the read.

The request ignored the outcome of the refresh.

A count is now answered only if it was complete in the last 2 s; otherwise the answer is 503 with Retry-After. All requests of a host share one refresh. If the history is lost, the host counts the stored jobs without an end or a begun run, then adds those stored during the full read. If the owner's row replaces the counts meanwhile and is itself too old, the refresh starts from that row. The code is taken out of job_api into waiting_counts.

--- a/src/manager/job_api.cpp
+++ b/src/manager/job_api.cpp
@@ -34,9 +34,6 @@
 constexpr milliseconds answer_margin{250};
 /// Retry-After during a store outage; outages last some seconds.
 constexpr int outage_retry_seconds = 2;
-/// The platform allows counts of waiting jobs to be 2 s old. If the owner's counts are older than
-/// this limit, jobs that they do not cover yet are read from the store.
-constexpr milliseconds waiting_age_limit{1'500};
 /// Most rows in one transaction; each new job takes a condition and a write.
 constexpr std::size_t max_batch = 45;
 
@@ -91,7 +88,8 @@
 
 } // namespace
 
-job_api::job_api(context& shared) : shared_(shared), admission_(scheduler::admission_settings{})
+job_api::job_api(context& shared)
+    : shared_(shared), waiting_counts_(shared), admission_(scheduler::admission_settings{})
 {
     for (std::size_t partition = 0; partition < adapter::store::parts_of(jobs_table); ++partition)
     {
@@ -129,7 +127,7 @@
     const steady_time deadline = shared_.now() + request_timeout_of(received) - answer_margin;
     if (received.method() == http::method::get && id.empty())
     {
-        co_return co_await show_waiting(queue);
+        co_return co_await show_waiting(queue, deadline);
     }
     if (!is_job_id(id))
     {
@@ -250,60 +248,18 @@
     co_return std::nullopt;
 }
 
-boost::asio::awaitable<http::response> job_api::show_waiting(job::queue queue)
+boost::asio::awaitable<http::response> job_api::show_waiting(job::queue queue, steady_time deadline)
 {
-    if (shared_.load.is_older_than(waiting_age_limit, shared_.store_time()))
+    const std::optional<std::int64_t> count =
+        co_await waiting_counts_.count(std::move(queue), deadline);
+    if (!count)
     {
-        const std::optional<milliseconds> age = shared_.load.age(shared_.store_time());
-        std::string_view outcome = "store_unavailable";
-        if (!shared_.store_unavailable)
-        {
-            outcome = co_await add_new_jobs();
-        }
-        shared_.daemon_metrics.observe_count_refresh(outcome);
-        log_event(log_level::info, "waiting_refreshed",
-                  {{"queue", queue.name},
-                   {"waiting", shared_.load.load_of(queue).waiting},
-                   {"covered_version", shared_.load.covered_version()},
-                   {"age_ms", age.value_or(milliseconds(-1)).count()},
-                   {"source", "feed"},
-                   {"outcome", outcome}});
+        co_return error_response(http::status::service_unavailable,
+                                 "the number of waiting jobs is not known",
+                                 shared_.store_unavailable ? outage_retry_seconds : 1);
     }
     co_return http::make_response(http::status::ok,
-                                  R"({"waiting":)" +
-                                      std::to_string(shared_.load.load_of(queue).waiting) + "}");
-}
-
-boost::asio::awaitable<std::string_view> job_api::add_new_jobs()
-{
-    const std::int64_t from = shared_.load.covered_version();
-    const adapter::read_result changes =
-        co_await shared_.store.watch(jobs_table, from, milliseconds(0), read_timeout);
-    if (!changes.ok)
-    {
-        co_return changes.history_lost ? "history_lost" : "read_failed";
-    }
-    std::map<std::string, std::int64_t, std::less<>> added;
-    for (const adapter::row& row : changes.rows)
-    {
-        if (row.removed || row.value.empty() || !row.key.starts_with(job_prefix))
-        {
-            continue;
-        }
-        const std::optional<job::parsed_record> record = parse_or_log(
-            "job_unreadable", row.key, row.version, [&] { return job::parse_record(row.value); });
-        if (record)
-        {
-            ++added[record->header.source_queue.name];
-        }
-    }
-    if (shared_.load.covered_version() != from)
-    {
-        co_return "superseded";
-    }
-    shared_.update_store_time(changes.store_time);
-    shared_.load.add_waiting(added, changes.version, changes.store_time);
-    co_return "done";
+                                  R"({"waiting":)" + std::to_string(*count) + "}");
 }
 
 boost::asio::awaitable<http::response> job_api::show(std::string id)
--- a/src/manager/job_api.hpp
+++ b/src/manager/job_api.hpp
@@ -2,6 +2,7 @@
 
 #include "http/message.hpp"
 #include "manager/context.hpp"
+#include "manager/waiting_counts.hpp"
 #include "scheduler/admission.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -66,9 +67,7 @@
                                                   std::string body, steady_time deadline);
     /// Returns the error response if the job is not stored, or nothing if it is.
     boost::asio::awaitable<std::optional<http::response>> error_if_unknown(std::string id);
-    boost::asio::awaitable<http::response> show_waiting(job::queue queue);
-    /// Adds the jobs that the counts of waiting jobs do not cover yet. Returns the outcome.
-    boost::asio::awaitable<std::string_view> add_new_jobs();
+    boost::asio::awaitable<http::response> show_waiting(job::queue queue, steady_time deadline);
     boost::asio::awaitable<http::response> show(std::string id);
     boost::asio::awaitable<http::response> cancel(std::string id, steady_time deadline);
     void complete(pending_write& entry, adapter::commit_outcome outcome);
@@ -78,6 +77,7 @@
                              const adapter::commit_result& result);
 
     context& shared_;
+    waiting_counts waiting_counts_;
     std::vector<write_queue> write_queues_;
     scheduler::admission_control admission_;
 };
--- a/src/manager/load_summary.cpp
+++ b/src/manager/load_summary.cpp
@@ -111,6 +111,24 @@
     summary_.complete_at = std::max(summary_.complete_at, store_time);
 }
 
+void load_tracker::replace_waiting(std::map<std::string, std::int64_t, std::less<>> queues,
+                                   std::int64_t version, milliseconds store_time)
+{
+    summary_.load.waiting = std::move(queues);
+    summary_.covered_version = version;
+    summary_.complete_at = store_time;
+}
+
+std::optional<std::int64_t> load_tracker::waiting(const job::queue& queue, milliseconds max_age,
+                                                  milliseconds store_time) const
+{
+    if (is_older_than(max_age, store_time))
+    {
+        return std::nullopt;
+    }
+    return load_of(queue).waiting;
+}
+
 std::optional<milliseconds> load_tracker::age(milliseconds store_time) const
 {
     if (summary_.complete_at.count() == 0)
--- a/src/manager/load_summary.hpp
+++ b/src/manager/load_summary.hpp
@@ -45,6 +45,15 @@
     void add_waiting(const std::map<std::string, std::int64_t, std::less<>>& queues,
                      std::int64_t version, milliseconds store_time);
 
+    /// Replaces the counts by those of the jobs that were stored up to `version`, as read from the
+    /// store at `store_time`.
+    void replace_waiting(std::map<std::string, std::int64_t, std::less<>> queues,
+                         std::int64_t version, milliseconds store_time);
+
+    /// Waiting jobs of a queue; none if the counts are older than `max_age`.
+    [[nodiscard]] std::optional<std::int64_t> waiting(const job::queue& queue, milliseconds max_age,
+                                                      milliseconds store_time) const;
+
     /// Load of a queue.
     [[nodiscard]] scheduler::queue_load load_of(const job::queue& queue) const
     {
--- a/tests/manager/waiting_counts_test.cpp
+++ b/tests/manager/waiting_counts_test.cpp
@@ -31,6 +31,8 @@
     int feeds = 0;
     int reads = 0;
     milliseconds now{20'000};
+    /// Time until an answer.
+    milliseconds delay{0};
     std::function<void()> before_feed = [] {
     };
 
@@ -125,7 +127,11 @@
                 return http::server::listen(
                     io.get_executor(), values.store, {},
                     [&](http::request received) -> boost::asio::awaitable<http::response>
-                    { co_return store.handle(received); });
+                    {
+                        boost::asio::steady_timer timer(io.get_executor(), store.delay);
+                        co_await timer.async_wait(boost::asio::use_awaitable);
+                        co_return store.handle(received);
+                    });
             },
             [] { return std::shared_ptr<http::server>(); });
         REQUIRE(server != nullptr);
@@ -152,15 +158,18 @@
             [] { FAIL("the load row cannot be read"); });
     }
 
-    [[nodiscard]] http::request question() const
+    [[nodiscard]] http::request question(const std::string& deadline = "3000") const
     {
         http::request message = http::make_request(http::method::get, "/q/", "");
         message.set(boost::beast::http::field::host, "h");
-        message.set("Deadline-Ms", "3000");
+        message.set("Deadline-Ms", deadline);
         return message;
     }
 
-    http::response ask() { return test::run(io, callers->handle(question())); }
+    http::response ask(const std::string& deadline = "3000")
+    {
+        return test::run(io, callers->handle(question(deadline)));
+    }
 
     boost::asio::io_context io;
     std::shared_ptr<http::server> server;
@@ -218,3 +227,109 @@
     CHECK(host.ask().body() == count(0));
     CHECK(store.feeds + store.reads == 0);
 }
+
+TEST_CASE("a host that cannot read the new jobs refuses instead of answering an old count",
+          "[manager]")
+{
+    fake_store store;
+    add_three_jobs(store);
+    store.answers_feeds = false;
+    entry_host restarted(store);
+    const http::response refused = restarted.ask();
+    CHECK(refused.result_int() == 503);
+    CHECK(refused[boost::beast::http::field::retry_after] == "1");
+    entry_host late(store);
+    late.deliver(load_row(store.now - milliseconds(6'000)), 1);
+    CHECK(late.ask().result_int() == 503);
+    // Nearly two seconds are allowed.
+    entry_host recent(store);
+    recent.deliver(load_row(store.now - milliseconds(1'600)), 1);
+    CHECK(recent.ask().body() == count(0));
+}
+
+TEST_CASE("a host without the store refuses counts that are too old", "[manager]")
+{
+    fake_store store;
+    entry_host host(store);
+    host.shared->store_unavailable = true;
+    host.deliver(load_row(store.now - milliseconds(1'600)), 1);
+    CHECK(host.ask().body() == count(0));
+    host.deliver(load_row(store.now - milliseconds(2'500)), 2);
+    CHECK(host.ask().result_int() == 503);
+    CHECK(store.feeds + store.reads == 0);
+}
+
+TEST_CASE("jobs are counted anew if the store has dropped the history", "[manager]")
+{
+    fake_store store;
+    store.add_job("00000000000000a0");
+    add_three_jobs(store);
+    store.add_job("00000000000000a4");
+    store.add_job("00000000000000a5");
+    store.write("jobs", "j/00000000000000a6", "");
+    store.write("progress", "00000000000000a1", "running 0 0\n0.0.0 0 1 0 0 i-1 5 -");
+    store.write("progress", "00000000000000a2", "running 0 1\n0.0.0 0 1 0 0 i-1 5 -");
+    store.write("progress", "00000000000000a3", "completed 900 1");
+    store.write("jobs", "c/00000000000000a4", "{}");
+    store.oldest_history = 5;
+    entry_host restarted(store);
+    CHECK(restarted.ask().body() == count(3));
+    entry_host late(store);
+    late.deliver(load_row(store.now - milliseconds(6'000)), 1);
+    CHECK(late.ask().body() == count(3));
+    store.answers_reads = false;
+    entry_host refusing(store);
+    CHECK(refusing.ask().result_int() == 503);
+}
+
+TEST_CASE("a load row that replaces the counts during a refresh is itself brought up to date",
+          "[manager]")
+{
+    fake_store store;
+    add_three_jobs(store);
+    entry_host host(store);
+    host.deliver(R"({"covered_version":0,"waiting":{},"pools":{}})", 1);
+    store.before_feed = [&]
+    {
+        if (store.feeds == 1)
+        {
+            host.deliver(load_row(store.now - milliseconds(6'000)), 2);
+        }
+    };
+    CHECK(host.ask().body() == count(3));
+}
+
+TEST_CASE("a request for a count does not outlast its deadline while a refresh hangs", "[manager]")
+{
+    fake_store store;
+    add_three_jobs(store);
+    store.delay = milliseconds(400);
+    entry_host host(store);
+    CHECK(host.ask("350").result_int() == 503);
+    CHECK(store.feeds == 0);
+    // The refresh goes on for later requests.
+    CHECK(host.ask().body() == count(3));
+    CHECK(store.feeds == 1);
+}
+
+TEST_CASE("concurrent requests for a count share one refresh", "[manager]")
+{
+    fake_store store;
+    add_three_jobs(store);
+    entry_host host(store);
+    std::vector<std::string> answers;
+    for (int request = 0; request < 5; ++request)
+    {
+        boost::asio::co_spawn(host.io, host.callers->handle(host.question()),
+                              [&](const std::exception_ptr&, const http::response& response)
+                              { answers.push_back(response.body()); });
+    }
+    const std::chrono::steady_clock::time_point deadline =
+        std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (answers.size() < 5 && std::chrono::steady_clock::now() < deadline)
+    {
+        host.io.run_one_until(deadline);
+    }
+    CHECK(answers == std::vector<std::string>(5, count(3)));
+    CHECK(store.feeds == 1);
+}
