Tell the counts of queues that do not fit into the load row

Queues beyond the 400 with the most waiting jobs were missing from the owner's row, and hosts answered 0 for them, however many jobs were waiting.

The row did not tell an empty queue from one that it had left out.

The list is now limited by the bytes of the row, 60000 of the 65536 that the store accepts, and the row says whether it is complete. For a queue that an incomplete row does not list, a host counts the stored jobs, at most once in the permitted age, and refuses if it cannot. Rows of earlier versions count as incomplete from 400 queues on.

--- a/src/manager/load_summary.cpp
+++ b/src/manager/load_summary.cpp
@@ -20,12 +20,6 @@
         counts.emplace_back(entry.second, entry.first);
     }
     std::sort(counts.begin(), counts.end(), std::greater<>());
-    counts.resize(std::min(counts.size(), max_reported_queues));
-    boost::json::object waiting;
-    for (const std::pair<std::int64_t, std::string_view>& entry : counts)
-    {
-        waiting[entry.second] = entry.first;
-    }
     boost::json::object pools;
     for (const auto& entry : value.load.pools)
     {
@@ -40,10 +34,29 @@
         }
         pools[entry.first] = std::move(levels);
     }
-    return boost::json::serialize(boost::json::object{{"covered_version", value.covered_version},
-                                                      {"complete_at_ms", value.complete_at.count()},
-                                                      {"waiting", std::move(waiting)},
-                                                      {"pools", std::move(pools)}});
+    boost::json::object row{{"covered_version", value.covered_version},
+                            {"complete_at_ms", value.complete_at.count()},
+                            {"waiting_complete", false},
+                            {"waiting", boost::json::object()},
+                            {"pools", std::move(pools)}};
+    std::size_t bytes = boost::json::serialize(row).size();
+    boost::json::object waiting;
+    bool waiting_complete = value.waiting_complete;
+    for (const std::pair<std::int64_t, std::string_view>& entry : counts)
+    {
+        const std::string name = boost::json::serialize(boost::json::string(entry.second));
+        // A colon and a comma.
+        bytes += name.size() + std::to_string(entry.first).size() + 2;
+        if (bytes > max_load_bytes)
+        {
+            waiting_complete = false;
+            break;
+        }
+        waiting[entry.second] = entry.first;
+    }
+    row["waiting"] = std::move(waiting);
+    row["waiting_complete"] = waiting_complete;
+    return boost::json::serialize(row);
 }
 
 boost::leaf::result<load_summary> parse_load(std::string_view text)
@@ -63,6 +76,9 @@
         BOOST_LEAF_AUTO(count, counts.integer(entry.key(), 0, max_value));
         result.load.waiting[std::string(entry.key())] = count;
     }
+    // Hosts of an earlier version do not store this field and list at most 400 queues.
+    BOOST_LEAF_ASSIGN(result.waiting_complete,
+                      reader.flag_or("waiting_complete", waiting->size() < 400));
     BOOST_LEAF_AUTO(pools, reader.object("pools"));
     json_reader names(*pools, "load.pools");
     for (const boost::json::key_value_pair& entry : *pools)
@@ -105,28 +121,51 @@
 {
     for (const auto& entry : queues)
     {
-        summary_.load.waiting[entry.first] += entry.second;
+        const auto listed = summary_.load.waiting.find(entry.first);
+        if (listed != summary_.load.waiting.end())
+        {
+            listed->second += entry.second;
+        }
+        else if (summary_.waiting_complete)
+        {
+            summary_.load.waiting[entry.first] = entry.second;
+        }
     }
     summary_.covered_version = std::max(summary_.covered_version, version);
     summary_.complete_at = std::max(summary_.complete_at, store_time);
 }
 
-void load_tracker::replace_waiting(std::map<std::string, std::int64_t, std::less<>> queues,
-                                   std::int64_t version, milliseconds store_time)
+void load_tracker::add_full_count(std::map<std::string, std::int64_t, std::less<>> queues,
+                                  std::int64_t version, milliseconds store_time)
+{
+    full_count_ = {version, store_time, {std::move(queues), {}}};
+    if (version >= summary_.covered_version)
+    {
+        summary_.covered_version = version;
+        summary_.complete_at = store_time;
+        summary_.load.waiting = full_count_.load.waiting;
+        summary_.waiting_complete = true;
+    }
+}
+
+bool load_tracker::lists(const job::queue& queue) const
 {
-    summary_.load.waiting = std::move(queues);
-    summary_.covered_version = version;
-    summary_.complete_at = store_time;
+    return summary_.waiting_complete || summary_.load.waiting.contains(queue.name);
 }
 
 std::optional<std::int64_t> load_tracker::waiting(const job::queue& queue, milliseconds max_age,
                                                   milliseconds store_time) const
 {
-    if (is_older_than(max_age, store_time))
+    if (lists(queue) && !is_older_than(max_age, store_time))
     {
-        return std::nullopt;
+        return load_of(queue).waiting;
+    }
+    if (!lists(queue) && full_count_.complete_at.count() > 0 &&
+        store_time - full_count_.complete_at <= max_age)
+    {
+        return full_count_.load.of(queue).waiting;
     }
-    return load_of(queue).waiting;
+    return std::nullopt;
 }
 
 std::optional<milliseconds> load_tracker::age(milliseconds store_time) const
--- a/src/manager/load_summary.hpp
+++ b/src/manager/load_summary.hpp
@@ -23,11 +23,13 @@
     /// All jobs stored before this time are included; on the store's steady clock. Zero if unknown.
     milliseconds complete_at{0};
     scheduler::load_report load;
+    /// False if queues with waiting jobs are missing, as the row has no space for them.
+    bool waiting_complete = true;
 };
 
-/// Only the queues with the most waiting jobs are listed, as the row must stay below the store's
-/// limit of 64 KiB and every host reads it.
-inline constexpr std::size_t max_reported_queues = 400;
+/// Longest text of a load summary; rows of the store have at most 64 KiB. The queues with the most
+/// waiting jobs are listed first.
+inline constexpr std::size_t max_load_bytes = 60'000;
 
 [[nodiscard]] std::string serialize_load(const load_summary& value);
 [[nodiscard]] boost::leaf::result<load_summary> parse_load(std::string_view text);
@@ -45,12 +47,15 @@
     void add_waiting(const std::map<std::string, std::int64_t, std::less<>>& queues,
                      std::int64_t version, milliseconds store_time);
 
-    /// Replaces the counts by those of the jobs that were stored up to `version`, as read from the
-    /// store at `store_time`.
-    void replace_waiting(std::map<std::string, std::int64_t, std::less<>> queues,
-                         std::int64_t version, milliseconds store_time);
+    /// Takes the counts of all jobs that were stored up to `version`, as read from the store at
+    /// `store_time`.
+    void add_full_count(std::map<std::string, std::int64_t, std::less<>> queues,
+                        std::int64_t version, milliseconds store_time);
 
-    /// Waiting jobs of a queue; none if the counts are older than `max_age`.
+    /// True if the owner's summary tells the count of a queue.
+    [[nodiscard]] bool lists(const job::queue& queue) const;
+
+    /// Waiting jobs of a queue; none if no count is known that is at most `max_age` old.
     [[nodiscard]] std::optional<std::int64_t> waiting(const job::queue& queue, milliseconds max_age,
                                                       milliseconds store_time) const;
 
@@ -73,6 +78,8 @@
 
 private:
     load_summary summary_;
+    /// Counts of all queues, for those that the summary does not list.
+    load_summary full_count_;
     std::int64_t row_version_ = 0;
 };
 
--- a/src/manager/waiting_counts.cpp
+++ b/src/manager/waiting_counts.cpp
@@ -103,7 +103,7 @@
 boost::asio::awaitable<void> waiting_counts::refresh(job::queue queue)
 {
     const std::optional<milliseconds> age_before = shared_.load.age(shared_.store_time());
-    const refresh_result result = co_await read_counts();
+    const refresh_result result = co_await read_counts(queue);
     log_refresh(queue, age_before, result);
     refreshing_ = false;
     for (const std::shared_ptr<pending_request>& request : std::exchange(pending_, {}))
@@ -113,7 +113,8 @@
     }
 }
 
-boost::asio::awaitable<waiting_counts::refresh_result> waiting_counts::read_counts()
+boost::asio::awaitable<waiting_counts::refresh_result>
+waiting_counts::read_counts(const job::queue& queue)
 {
     refresh_result result;
     for (int attempt = 0; attempt < refresh_attempts; ++attempt)
@@ -124,7 +125,8 @@
             co_return result;
         }
         result.outcome = co_await add_new_jobs();
-        if (result.outcome == "history_lost")
+        if (result.outcome == "history_lost" ||
+            (result.outcome == "done" && !shared_.load.lists(queue)))
         {
             result.source = "tables";
             result.outcome = co_await recount();
@@ -138,7 +140,7 @@
         {
             co_return result;
         }
-        if (!shared_.load.is_older_than(refresh_age, shared_.store_time()))
+        if (shared_.load.waiting(queue, refresh_age, shared_.store_time()))
         {
             co_return refresh_result{"owner", "done"};
         }
@@ -175,7 +177,6 @@
 
 boost::asio::awaitable<std::string_view> waiting_counts::recount()
 {
-    const std::int64_t from = shared_.load.covered_version();
     // Jobs that begin or end during the reads are found in the later one.
     const table_read jobs = co_await read_table(shared_, std::string(jobs_table));
     if (!jobs.ok)
@@ -200,11 +201,7 @@
             ++counts[name];
         }
     }
-    if (shared_.load.covered_version() != from)
-    {
-        co_return "superseded";
-    }
-    shared_.load.replace_waiting(std::move(counts), jobs.version, jobs.store_time);
+    shared_.load.add_full_count(std::move(counts), jobs.version, jobs.store_time);
     co_return "done";
 }
 
--- a/src/manager/waiting_counts.hpp
+++ b/src/manager/waiting_counts.hpp
@@ -45,7 +45,7 @@
 
     /// Brings the counts up to date. `queue` is the one that was asked for.
     boost::asio::awaitable<void> refresh(job::queue queue);
-    boost::asio::awaitable<refresh_result> read_counts();
+    boost::asio::awaitable<refresh_result> read_counts(const job::queue& queue);
     /// Adds the jobs that the counts do not cover yet. Returns the outcome.
     boost::asio::awaitable<std::string_view> add_new_jobs();
     /// Counts all stored jobs. Returns the outcome.
--- a/tests/manager/manager_test.cpp
+++ b/tests/manager/manager_test.cpp
@@ -222,6 +222,29 @@
     }
 }
 
+TEST_CASE("a queue with few waiting jobs is not counted as empty because others have more",
+          "[manager]")
+{
+    // The first list of queues fits into a row, the second does not.
+    for (const int queues : {600, 5'000})
+    {
+        load_summary written{1, milliseconds(1'000), {}};
+        for (int number = 0; number < queues; ++number)
+        {
+            written.load.waiting["host.example/queue-" + std::to_string(number)] = 2;
+        }
+        written.load.waiting["short"] = 1;
+        std::optional<load_summary> read = parse_or_log(
+            "load_unreadable", "load", 1, [&] { return parse_load(serialize_load(written)); });
+        REQUIRE(read);
+        load_tracker tracker;
+        tracker.observe(std::move(*read), 1);
+        const std::optional<std::int64_t> count =
+            tracker.waiting({"short", "h", "/", "pool"}, milliseconds(2'000), milliseconds(1'100));
+        CHECK(count.value_or(-1) == (queues == 600 ? 1 : -1));
+    }
+}
+
 TEST_CASE("the load summary fits into a row of the store, whatever the configuration", "[manager]")
 {
     // Guards against an owner whose renewals the store refuses, because the summary lists every
--- a/tests/manager/waiting_counts_test.cpp
+++ b/tests/manager/waiting_counts_test.cpp
@@ -282,6 +282,43 @@
     CHECK(refusing.ask().result_int() == 503);
 }
 
+TEST_CASE("jobs are counted anew for a queue that the owner's row has no space for", "[manager]")
+{
+    fake_store store;
+    add_three_jobs(store);
+    entry_host host(store);
+    const std::string row =
+        R"({"covered_version":4,"complete_at_ms":19900,"waiting_complete":false,)"
+        R"("waiting":{"other":9},"pools":{}})";
+    host.deliver(row, 1);
+    CHECK(host.ask().body() == count(3));
+    // The owner's next row does not make another full read necessary.
+    const int reads = store.reads;
+    host.deliver(row, 2);
+    CHECK(host.ask().body() == count(3));
+    CHECK(store.reads == reads);
+    store.answers_reads = false;
+    entry_host refusing(store);
+    refusing.deliver(row, 1);
+    CHECK(refusing.ask().result_int() == 503);
+}
+
+TEST_CASE("a new job does not list a queue that the owner's row has no space for", "[manager]")
+{
+    load_tracker tracker;
+    load_summary incomplete{1, milliseconds(1'000), {}};
+    incomplete.load.waiting["other"] = 9;
+    incomplete.waiting_complete = false;
+    tracker.observe(incomplete, 1);
+    tracker.add_waiting({{tested_queue.name, 1}, {"other", 1}}, 5, milliseconds(3'000));
+    const auto waiting = [&](const job::queue& queue)
+    {
+        return tracker.waiting(queue, milliseconds(2'000), milliseconds(3'100));
+    };
+    CHECK_FALSE(waiting(tested_queue));
+    CHECK(waiting({"other", "h", "/", "pool"}) == 10);
+}
+
 TEST_CASE("a load row that replaces the counts during a refresh is itself brought up to date",
           "[manager]")
 {
