--- a/src/manager/daemon.cpp
+++ b/src/manager/daemon.cpp
@@ -6,10 +6,9 @@
 #include "http/server.hpp"
 #include "manager/context.hpp"
 #include "manager/feed.hpp"
-#include "manager/fleet_controller.hpp"
 #include "manager/job_api.hpp"
 #include "manager/metrics_collection.hpp"
-#include "manager/owner_session.hpp"
+#include "manager/owner_election.hpp"
 #include "platform/decode.hpp"
 #include "platform/settings.hpp"
 
@@ -19,7 +18,6 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <algorithm>
 #include <csignal>
 #include <iostream>
 #include <memory>
@@ -34,11 +32,6 @@
 /// Time until the platform's load balancer stops routing to a host that is not ready: two health
 /// checks, 1 s apart.
 constexpr milliseconds load_balancer_delay{2'500};
-/// Least interval between reads of the owner's rows, which change every 0.7 s.
-constexpr milliseconds owner_read_interval{200};
-/// Bounds of one long poll of the owner's rows. A poll ends when this host may have to take over.
-constexpr milliseconds min_owner_wait{20};
-constexpr milliseconds max_owner_wait{700};
 /// Interval between isolation checks, and the length of a store outage before the first one: a lost
 /// connection is replaced within milliseconds and needs no check.
 constexpr milliseconds isolation_check_interval{250};
@@ -46,8 +39,6 @@
 /// Peers queried in one isolation check, and the timeout of a query on the platform's network.
 constexpr std::size_t peers_per_check = 2;
 constexpr milliseconds peer_timeout{300};
-/// Interval between attempts to store this host's record.
-constexpr milliseconds host_record_retry_interval{500};
 /// Part of the stop's grace period that is reserved for exiting.
 constexpr milliseconds exit_margin{900};
 
@@ -56,7 +47,8 @@
 {
 public:
     explicit daemon(settings values)
-        : shared_(std::move(values), io_), job_api_(shared_), signals_(io_, SIGTERM, SIGHUP)
+        : shared_(std::move(values), io_), job_api_(shared_), election_(shared_),
+          signals_(io_, SIGTERM, SIGHUP)
     {
     }
 
@@ -83,9 +75,8 @@
                    {"store", shared_.config.store.text()}});
         job_api_.start();
         spawn([this] { return follow_operator(); });
-        spawn([this] { return publish_host_record(); });
         spawn([this] { return watch_isolation(); });
-        spawn([this] { return follow_owner(); });
+        election_.start();
         spawn([this] { return watch_signals(); });
         io_.run();
         log_event(log_level::info, "stopped", {});
@@ -112,7 +103,7 @@
 
     boost::asio::awaitable<http::response> handle_metrics_request()
     {
-        collect_metrics(shared_, session_.get(), is_ready());
+        collect_metrics(shared_, election_.session(), is_ready());
         co_return http::make_response(http::status::ok, shared_.daemon_metrics.text(),
                                       "text/plain; version=0.0.4");
     }
@@ -163,10 +154,7 @@
                    {"queues", parsed->queues.size()},
                    {"row_version", row.version}});
         shared_.current = std::make_shared<configuration>(std::move(*parsed));
-        if (session_)
-        {
-            session_->configure();
-        }
+        election_.configure();
     }
 
     void apply_wave(const adapter::row& row)
@@ -178,11 +166,7 @@
         {
             return;
         }
-        if (fleet_)
-        {
-            fleet_->add_wave(*parsed);
-        }
-        waves_[parsed->number] = std::move(*parsed);
+        election_.add_wave(std::move(*parsed));
     }
 
     boost::asio::awaitable<void> follow_operator()
@@ -206,121 +190,6 @@
         co_await follow_table(shared_, std::move(feed));
     }
 
-    void apply_owner(const adapter::row& row)
-    {
-        const std::optional<owner_row> owner = parse_or_log(
-            "owner_unreadable", row.key, row.version, [&] { return parse_owner(row.value); });
-        if (owner)
-        {
-            shared_.owner.observe(*owner, row.version, shared_.store_time() - owner->renewed,
-                                  shared_.now());
-        }
-    }
-
-    void apply_owner_rows(const std::vector<adapter::row>& rows)
-    {
-        for (const adapter::row& row : rows)
-        {
-            if (row.removed)
-            {
-                continue;
-            }
-            if (row.key == owner_key)
-            {
-                apply_owner(row);
-            }
-            else if (row.key == handover_key)
-            {
-                const std::optional<handover_request> request =
-                    parse_or_log("handover_unreadable", row.key, row.version,
-                                 [&] { return parse_handover(row.value); });
-                if (request)
-                {
-                    shared_.owner.observe_handover(*request, shared_.now());
-                }
-            }
-            else if (row.key == load_key)
-            {
-                std::optional<load_summary> summary = parse_or_log(
-                    "load_unreadable", row.key, row.version, [&] { return parse_load(row.value); });
-                if (summary)
-                {
-                    shared_.load.observe(std::move(*summary), row.version);
-                }
-            }
-            else if (row.key.starts_with(host_prefix))
-            {
-                std::optional<host_record> host = parse_or_log(
-                    "host_unreadable", row.key, row.version, [&] { return parse_host(row.value); });
-                if (host)
-                {
-                    shared_.owner.observe_host(std::string_view(row.key).substr(host_prefix.size()),
-                                               host->resources);
-                    shared_.hosts[row.key.substr(host_prefix.size())] = std::move(*host);
-                }
-            }
-        }
-    }
-
-    boost::asio::awaitable<void> follow_owner()
-    {
-        feed_settings feed;
-        feed.table = std::string(owner_table);
-        feed.pause = []
-        {
-            return owner_read_interval;
-        };
-        feed.max_wait = [this]
-        {
-            return std::clamp(shared_.owner.time_to_takeover(shared_.now()), min_owner_wait,
-                              max_owner_wait);
-        };
-        feed.apply = [this](const table_changes& changes)
-        {
-            apply_owner_rows(changes.rows);
-            if (changes.is_snapshot && !shared_.owner.is_loaded())
-            {
-                shared_.owner.observe({}, 0, milliseconds(0), shared_.now());
-            }
-        };
-        feed.after_call = [this](bool answered)
-        {
-            if (!answered)
-            {
-                shared_.owner.on_store_failure(shared_.now());
-                return;
-            }
-            consider_takeover();
-            consider_handover();
-        };
-        feed.is_ended = []
-        {
-            return false;
-        };
-        co_await follow_table(shared_, std::move(feed));
-    }
-
-    /// Stores this host's record for the other hosts; retries until it is stored.
-    boost::asio::awaitable<void> publish_host_record()
-    {
-        adapter::transaction work;
-        work.writes.push_back(
-            {std::string(owner_table), std::string(host_prefix) + shared_.config.host,
-             serialize_host({shared_.config.resources, shared_.config.availability_zone,
-                             shared_.config.readiness})});
-        bool stored = false;
-        while (!stored)
-        {
-            const adapter::commit_result result =
-                co_await shared_.store.commit(work, commit_timeout);
-            stored = result.outcome == adapter::commit_outcome::done;
-            if (!stored)
-            {
-                co_await sleep_for(shared_, host_record_retry_interval);
-            }
-        }
-    }
-
     /// Queries whether another host reaches the store.
     boost::asio::awaitable<peer_store_status> query_peer(address where)
     {
@@ -359,98 +228,6 @@
         }
     }
 
-    void consider_takeover()
-    {
-        if (session_ && session_->ended())
-        {
-            session_.reset();
-            fleet_.reset();
-        }
-        if (!session_ && !taking_over_ && !shared_.stopping &&
-            shared_.owner.should_take_over(shared_.now()))
-        {
-            taking_over_ = true;
-            spawn([this] { return take_over(); });
-        }
-    }
-
-    /// Moves the ownership from a weak host, which took over while stronger ones were away, to a
-    /// stronger one.
-    void consider_handover()
-    {
-        if (session_ && session_->is_loaded() && !session_->ended() &&
-            session_->term() == shared_.owner.row().term && shared_.owner.should_hand_over())
-        {
-            session_->release("a stronger host has asked for it");
-        }
-        else if (!session_ && !taking_over_ && !requesting_handover_ && !shared_.stopping &&
-                 !shared_.isolated && shared_.owner.should_request_handover(shared_.now()))
-        {
-            requesting_handover_ = true;
-            spawn([this] { return request_handover(); });
-        }
-    }
-
-    boost::asio::awaitable<void> request_handover()
-    {
-        const handover_request request{shared_.config.host, shared_.owner.row().term};
-        adapter::transaction work;
-        work.writes.push_back(
-            {std::string(owner_table), std::string(handover_key), serialize_handover(request)});
-        const adapter::commit_result result = co_await shared_.store.commit(work, commit_timeout);
-        requesting_handover_ = false;
-        shared_.owner.observe_handover(request, shared_.now());
-        log_event(log_level::info, "handover_requested",
-                  {{"term", request.term},
-                   {"owner", shared_.owner.row().host},
-                   {"stored", result.outcome == adapter::commit_outcome::done},
-                   {"reason", result.reason}});
-    }
-
-    boost::asio::awaitable<void> take_over()
-    {
-        const std::int64_t term = shared_.owner.row().term + 1;
-        const std::int64_t seen_version = shared_.owner.version();
-        const owner_row own_row{shared_.config.host, term, false, shared_.store_time()};
-        adapter::transaction work;
-        work.conditions.push_back({std::string(owner_table), std::string(owner_key), seen_version});
-        work.writes.push_back(
-            {std::string(owner_table), std::string(owner_key), serialize_owner(own_row)});
-        const adapter::commit_result result = co_await shared_.store.commit(work, commit_timeout);
-        taking_over_ = false;
-        log_event(log_level::info, "takeover",
-                  {{"term", term},
-                   {"seen_version", seen_version},
-                   {"former", shared_.owner.row().host},
-                   {"done", result.outcome == adapter::commit_outcome::done},
-                   {"reason", result.reason}});
-        if (result.outcome == adapter::commit_outcome::done)
-        {
-            shared_.update_store_time(result.store_time);
-            shared_.owner.observe(own_row, result.version, milliseconds(0), shared_.now());
-            session_ = std::make_shared<owner_session>(shared_, term, result.version);
-            session_->start();
-            fleet_ = std::make_shared<fleet_controller>(shared_, session_);
-            for (const auto& entry : waves_)
-            {
-                fleet_->add_wave(entry.second);
-            }
-            fleet_->start();
-            co_return;
-        }
-        for (const adapter::row& row : result.current)
-        {
-            if (row.key == owner_key)
-            {
-                apply_owner(row);
-            }
-        }
-        if (result.outcome != adapter::commit_outcome::conflict)
-        {
-            shared_.owner.on_store_failure(shared_.now());
-        }
-    }
-
     /// Applies changed durations and the advice service's address. All other addresses are used
     /// only at startup, so a change of them needs a restart.
     void reload_settings()
@@ -501,10 +278,7 @@
                    {"connections", caller_server_->open_connections()}});
         shared_.stopping = true;
         const steady_time stop_requested = shared_.now();
-        if (session_)
-        {
-            session_->release("this host is stopping");
-        }
+        election_.release();
         co_await sleep_for(shared_, load_balancer_delay);
         caller_server_->stop();
         while (caller_server_->open_connections() > 0 &&
@@ -518,18 +292,11 @@
     boost::asio::io_context io_{1};
     context shared_;
     job_api job_api_;
+    owner_election election_;
     boost::asio::signal_set signals_;
     std::shared_ptr<http::server> caller_server_;
     std::shared_ptr<http::server> readiness_server_;
     std::shared_ptr<http::server> metrics_server_;
-    std::shared_ptr<owner_session> session_;
-    std::shared_ptr<fleet_controller> fleet_;
-    /// Maintenance waves requested by the operator, by number.
-    std::map<std::int64_t, fleet::wave> waves_;
-    /// A takeover transaction is in flight.
-    bool taking_over_ = false;
-    /// A handover request is being stored.
-    bool requesting_handover_ = false;
 };
 
 } // namespace
