Do not take an earlier state of the store as current

A read that showed the store as of an earlier version made the counts of waiting jobs pass as complete at the time of the answer, though jobs stored since the known version could be missing. The same held for the position of a feed.

Nothing compared the version of an answer with the one already known; only full reads of a feed did. Evidence, before the fix, [manager]:

a read from before the counts' version does not make them current CHECK( host.ask().result_int() == 503 ) 200 == 503 an answer that shows an earlier version does not advance a feed 1350ms == 1330ms

Such answers now advance neither the counts nor the position.

--- a/src/manager/feed.cpp
+++ b/src/manager/feed.cpp
@@ -142,7 +142,7 @@
 
 boost::asio::awaitable<void> follow_table(context& shared, feed_settings feed)
 {
-    std::int64_t version = 0;
+    feed_position position;
     bool has_snapshot = false;
     while (!feed.is_ended())
     {
@@ -154,14 +154,13 @@
                 co_return;
             }
             feed.after_call(snapshot.ok);
-            if (!snapshot.ok || snapshot.version < version)
+            if (!snapshot.ok || snapshot.version < position.version)
             {
                 co_await sleep_for(shared, retry_pause);
                 continue;
             }
             has_snapshot = true;
-            version = snapshot.version;
-            const feed_position position{version, snapshot.store_time};
+            position = {snapshot.version, snapshot.store_time};
             feed.apply({snapshot.rows, true, position});
             feed.advanced(position);
             feed.after_call(true);
@@ -171,8 +170,8 @@
         {
             co_await sleep_for(shared, call_pause);
         }
-        adapter::read_result changes =
-            co_await shared.store.watch(feed.table, version, feed.max_wait(), read_timeout);
+        adapter::read_result changes = co_await shared.store.watch(feed.table, position.version,
+                                                                   feed.max_wait(), read_timeout);
         if (feed.is_ended())
         {
             co_return;
@@ -181,7 +180,7 @@
         if (changes.history_lost)
         {
             log_event(log_level::info, "feed_history_lost",
-                      {{"table", feed.table}, {"version", version}});
+                      {{"table", feed.table}, {"version", position.version}});
             has_snapshot = false;
             continue;
         }
@@ -192,8 +191,11 @@
             continue;
         }
         shared.update_store_time(changes.store_time);
-        version = std::max(version, changes.version);
-        const feed_position position{version, changes.store_time};
+        // A lagging replica may answer with an earlier version; later changes can be missing then.
+        if (changes.version >= position.version)
+        {
+            position = {changes.version, changes.store_time};
+        }
         if (!changes.rows.empty())
         {
             feed.apply({changes.rows, false, position});
--- a/src/manager/waiting_counts.cpp
+++ b/src/manager/waiting_counts.cpp
@@ -171,12 +171,17 @@
     {
         co_return "superseded";
     }
+    if (changes.version < from)
+    {
+        co_return "stale_read";
+    }
     shared_.load.add_waiting(added, changes.version, changes.store_time);
     co_return "done";
 }
 
 boost::asio::awaitable<std::string_view> waiting_counts::recount()
 {
+    const std::int64_t from = shared_.load.covered_version();
     // Jobs that begin or end during the reads are found in the later one.
     const table_read jobs = co_await read_table(shared_, std::string(jobs_table));
     if (!jobs.ok)
@@ -188,6 +193,10 @@
     {
         co_return "read_failed";
     }
+    if (jobs.version < from)
+    {
+        co_return "stale_read";
+    }
     std::set<std::string, std::less<>> not_waiting;
     add_begun_jobs(progress, not_waiting);
     add_cancelled_jobs(jobs, not_waiting);
--- a/tests/manager/feed_test.cpp
+++ b/tests/manager/feed_test.cpp
@@ -33,6 +33,9 @@
         rows_.push_back({part, key, ++version_});
     }
 
+    /// Later answers show the rows as of an earlier version.
+    void fall_back() { --version_; }
+
     /// Another table changes.
     void write_elsewhere() { ++version_; }
 
@@ -225,3 +228,25 @@
     CHECK(delivered.positions[2].store_time > delivered.positions[1].store_time);
     CHECK(delivered.positions[3].version > delivered.positions[1].version);
 }
+
+TEST_CASE("an answer that shows an earlier version does not advance a feed", "[manager]")
+{
+    fake_store store;
+    store.clock_step = 10;
+    store.before_read = [](std::string_view) {
+    };
+    store.write_elsewhere();
+    store.write_elsewhere();
+    const followed delivered = follow_until(store,
+                                            [&](const followed& current)
+                                            {
+                                                if (current.positions.size() == 2)
+                                                {
+                                                    store.fall_back();
+                                                }
+                                                return current.positions.size() >= 4;
+                                            });
+    REQUIRE(delivered.positions.size() >= 4);
+    CHECK(delivered.positions[3].version == 2);
+    CHECK(delivered.positions[3].store_time == delivered.positions[1].store_time);
+}
--- a/tests/manager/waiting_counts_test.cpp
+++ b/tests/manager/waiting_counts_test.cpp
@@ -259,6 +259,22 @@
     CHECK(store.feeds + store.reads == 0);
 }
 
+TEST_CASE("a read from before the counts' version does not make them current", "[manager]")
+{
+    fake_store store;
+    add_three_jobs(store);
+    const std::string row =
+        R"({"covered_version":100,"complete_at_ms":14000,"waiting":{},"pools":{}})";
+    entry_host host(store);
+    host.deliver(row, 1);
+    CHECK(host.ask().result_int() == 503);
+    // The full read is as old.
+    store.oldest_history = 101;
+    entry_host recounting(store);
+    recounting.deliver(row, 1);
+    CHECK(recounting.ask().result_int() == 503);
+}
+
 TEST_CASE("jobs are counted anew if the store has dropped the history", "[manager]")
 {
     fake_store store;
