Tell a backend server that has ended from one that is silent

A call to a backend server that brought no answer was only "unknown" or "not sent", so the scheduler could not distinguish a server whose process had ended from one that was cut off. Both facts are known where the call is made: the connection was closed or refused, or nothing came in time. The HTTP client now reports a refused connection apart from one that could not be made, the calls to backend servers carry the kind of failure, and the scheduler keeps the kind and time of the first failure since a server's last answer. Nothing is decided by it yet.

The test needs the new field, so it does not compile on the former code.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -76,21 +76,25 @@
 }
 
 asio::awaitable<bool> client_connection::connect(std::chrono::steady_clock::time_point deadline,
-                                                 std::string& reason)
+                                                 exchange_result& result)
 {
     error_code malformed;
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(server_.ip, malformed),
                                            server_.port);
     if (malformed)
     {
-        reason = "connect: '" + server_.ip + "' is not an IP number";
+        result.failure = exchange_failure::connect;
+        result.reason = "connect: '" + server_.ip + "' is not an IP number";
         co_return false;
     }
     stream_.expires_at(deadline);
     const std::tuple<error_code> connected = co_await stream_.async_connect(endpoint, awaiting);
-    if (std::get<0>(connected))
+    const error_code error = std::get<0>(connected);
+    if (error)
     {
-        reason = "connect: " + std::get<0>(connected).message();
+        result.failure = error == asio::error::connection_refused ? exchange_failure::refused
+                                                                  : exchange_failure::connect;
+        result.reason = "connect: " + error.message();
         close();
         co_return false;
     }
@@ -134,9 +138,8 @@
         refuse_late_start(result);
         co_return result;
     }
-    if (!open_ && !co_await connect(std::min(limits.start_by, limits.deadline), result.reason))
+    if (!open_ && !co_await connect(std::min(limits.start_by, limits.deadline), result))
     {
-        result.failure = exchange_failure::connect;
         co_return result;
     }
     if (message.count(beast::http::field::host) == 0)
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -38,6 +38,8 @@
     none,
     /// No connection could be made.
     connect,
+    /// The host refused the connection: no process listens at the address.
+    refused,
     /// The first byte could not be written in time, or was no longer permitted.
     start_by_passed,
     /// No whole answer in time; the server may still be working on the request.
@@ -95,7 +97,7 @@
 
 private:
     boost::asio::awaitable<bool> connect(std::chrono::steady_clock::time_point deadline,
-                                         std::string& reason);
+                                         exchange_result& result);
     boost::asio::awaitable<void> read_answer(bool is_head, std::size_t body_limit,
                                              exchange_result& result);
     void fail(exchange_result& result, exchange_failure failure, std::string reason);
--- a/src/manager/owner_session_orders.cpp
+++ b/src/manager/owner_session_orders.cpp
@@ -84,6 +84,7 @@
         }
         worker::order_outcome outcome = worker::order_outcome::not_sent;
         bool in_doubt = false;
+        worker::call_failure failure = worker::call_failure::none;
         for (int attempt = 0; attempt < 2; ++attempt)
         {
             scheduler::server_state* server = scheduler_.find_server(order.server);
@@ -100,6 +101,10 @@
             const adapter::order_result result =
                 co_await shared_.workers.start(order, deadline, term_, order_timeout, may_send);
             outcome = result.outcome;
+            if (failure == worker::call_failure::none)
+            {
+                failure = result.failure;
+            }
             if (outcome == worker::order_outcome::unknown)
             {
                 in_doubt = true;
@@ -125,7 +130,7 @@
         if (outcome == worker::order_outcome::unknown ||
             (outcome == worker::order_outcome::not_sent && is_permitted))
         {
-            scheduler_.call_unanswered(order.server, order.server_born);
+            scheduler_.call_unanswered(order.server, order.server_born, failure, shared_.now());
         }
         scheduler_.start_answered(order, outcome, shared_.now());
         wake_server(order.server);
@@ -222,7 +227,7 @@
         }
         else
         {
-            scheduler_.call_unanswered(id, born);
+            scheduler_.call_unanswered(id, born, result.failure, shared_.now());
         }
         log_event(log_level::info, "look_failed",
                   {{"server", id},
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -91,7 +91,8 @@
     void end_incarnation(std::string_view id, std::int64_t born, steady_time now);
 
     /// Records that a call to this incarnation of the server was not answered.
-    void call_unanswered(std::string_view id, std::int64_t born);
+    void call_unanswered(std::string_view id, std::int64_t born, worker::call_failure failure,
+                         steady_time now);
 
     /// Applies a server's report of running and ended tasks, which was requested at `requested_at`.
     void apply_report(std::string_view id, const worker::report& report, steady_time requested_at,
--- a/src/scheduler/scheduler_servers.cpp
+++ b/src/scheduler/scheduler_servers.cpp
@@ -219,13 +219,20 @@
            max_lag + settings_.lease;
 }
 
-void scheduler::call_unanswered(std::string_view id, std::int64_t born)
+void scheduler::call_unanswered(std::string_view id, std::int64_t born,
+                                worker::call_failure failure, steady_time now)
 {
     server_state* server = find_server(id);
-    if (server != nullptr && server->info.born == born)
+    if (server == nullptr || server->info.born != born)
+    {
+        return;
+    }
+    if (server->unanswered == 0)
     {
-        ++server->unanswered;
+        server->first_failure = failure;
+        server->first_failure_at = now;
     }
+    ++server->unanswered;
 }
 
 void scheduler::check_run_progress(const task_ref& ref, int percent, steady_time now)
--- a/src/scheduler/state.hpp
+++ b/src/scheduler/state.hpp
@@ -196,6 +196,9 @@
     steady_time last_answer{};
     /// Calls since the last answer that were not answered.
     int unanswered = 0;
+    /// Kind and time of the first of these.
+    worker::call_failure first_failure = worker::call_failure::none;
+    steady_time first_failure_at{};
     /// Time of the last registration that was read.
     steady_time last_registration{};
     steady_time idle_since{};
--- a/src/traffic/caller_service.cpp
+++ b/src/traffic/caller_service.cpp
@@ -86,6 +86,7 @@
     case http::exchange_failure::none:
         return "backend_refused";
     case http::exchange_failure::connect:
+    case http::exchange_failure::refused:
         return "backend_unreachable";
     case http::exchange_failure::start_by_passed:
         return "start_by_passed";
--- a/src/worker/model.hpp
+++ b/src/worker/model.hpp
@@ -126,6 +126,17 @@
     int run = 0;
 };
 
+/// Why a call to a backend server brought no answer.
+enum class call_failure : std::uint8_t
+{
+    /// It was answered, or nothing was sent.
+    none,
+    /// No answer or connection in time; the server may be running.
+    silence,
+    /// The connection was closed or refused, as when the process has ended.
+    disconnected
+};
+
 /// Outcome of an order.
 enum class order_outcome : std::uint8_t
 {
--- a/tests/scheduler/scheduler_simulation.cpp
+++ b/tests/scheduler/scheduler_simulation.cpp
@@ -102,6 +102,12 @@
     return server.up && server.partitioned_until <= now_;
 }
 
+worker::call_failure scheduler_simulation::failure_of(const std::string& server) const
+{
+    return servers_.at(server).up ? worker::call_failure::silence
+                                  : worker::call_failure::disconnected;
+}
+
 void scheduler_simulation::take_over()
 {
     ++term_;
@@ -415,7 +421,7 @@
     }
     if (outcome == order_outcome::unknown)
     {
-        owner_->call_unanswered(order.server, order.server_born);
+        owner_->call_unanswered(order.server, order.server_born, failure_of(order.server), now_);
     }
     owner_->start_answered(order, outcome, now_);
 }
@@ -435,7 +441,7 @@
             known->tasks.empty() ? milliseconds(0) : owner_->grant_lease(*known, now_);
         if (!reachable(server))
         {
-            owner_->call_unanswered(entry.first, known->info.born);
+            owner_->call_unanswered(entry.first, known->info.born, failure_of(entry.first), now_);
             continue;
         }
         server.highest_token = std::max(server.highest_token, term_);
--- a/tests/scheduler/scheduler_simulation.hpp
+++ b/tests/scheduler/scheduler_simulation.hpp
@@ -128,6 +128,7 @@
     void record_violation(const std::string& text);
     [[nodiscard]] bool chance(double probability);
     [[nodiscard]] bool reachable(const fake_server& server) const;
+    [[nodiscard]] worker::call_failure failure_of(const std::string& server) const;
 
     std::mt19937 random_;
     fault_rates rates_;
