Give up a task under which two servers have crashed

A run that ended with its server was requeued as if nothing had happened, and nothing counted such ends.

Each task now counts the crashes of servers shortly after the start of its run. A crash is suspected when a server closes or refuses its connection, and counted when a later incarnation proves that the process has ended. Silence, an answer of the same incarnation, draining and the manager's own orders never count, nor do runs that had worked for 2 s, orders that were not sent or whose answer is overdue. After two crashes, the last with only tasks of its job on the server, the job ends as failed. A gang counts as one task. The count and the suspicion are stored in the task's line of the progress row, with its server's start, so the next start is stored in the same transaction and older rows are still read; a new owner counts a crash that its predecessor saw. Only a crash between a start and the store of the suspicion can be missed, one for each takeover.

The simulation detects counts that are not stored.

--- a/src/job/progress.cpp
+++ b/src/job/progress.cpp
@@ -43,6 +43,47 @@
     return field == empty_text ? std::string() : std::string(field);
 }
 
+/// Parses the part of the server's start field that follows the number; older rows have none.
+bool parse_crashes(std::string_view field, crash_history& crashes)
+{
+    if (field.empty())
+    {
+        return true;
+    }
+    int suspect = 0;
+    int at_start = 0;
+    int alone = 0;
+    if (!take_number(field, '/', crashes.crashes) ||
+        !take_number(field, '/', crashes.crashed_run) || !take_number(field, '/', suspect) ||
+        !take_number(field, '/', crashes.exposed_run) || !take_number(field, '/', at_start) ||
+        !take_number(field, '/', alone) || field.empty())
+    {
+        return false;
+    }
+    crashes.suspect = suspect != 0;
+    crashes.exposed_at_start = at_start != 0;
+    crashes.exposed_alone = alone != 0;
+    crashes.machine = text_field(field);
+    return crashes.crashes >= 0;
+}
+
+/// Appends what `parse_crashes` reads, if there is anything to record.
+void append_crashes(const crash_history& crashes, std::string& text)
+{
+    if (crashes == crash_history{})
+    {
+        return;
+    }
+    for (const int number :
+         {crashes.crashes, crashes.crashed_run, crashes.suspect ? 1 : 0, crashes.exposed_run,
+          crashes.exposed_at_start ? 1 : 0, crashes.exposed_alone ? 1 : 0})
+    {
+        text += '/' + std::to_string(number);
+    }
+    text += '/';
+    text += crashes.machine.empty() ? empty_text : std::string_view(crashes.machine);
+}
+
 bool parse_task(std::string_view line, task_progress& task)
 {
     int done = 0;
@@ -56,7 +97,9 @@
     }
     task.done = done != 0;
     task.server = text_field(take_field(line, ' '));
-    if (!take_number(line, ' ', task.server_born) || line.empty())
+    std::string_view born = take_field(line, ' ');
+    if (!take_number(born, '/', task.server_born) || !parse_crashes(born, task.crashes) ||
+        line.empty())
     {
         return false;
     }
@@ -105,7 +148,9 @@
         text += std::to_string(task.run) + ' ' + std::to_string(task.failures) + ' ' +
                 std::to_string(task.failed_run) + ' ';
         text += task.server.empty() ? empty_text : std::string_view(task.server);
-        text += ' ' + std::to_string(task.server_born) + ' ';
+        text += ' ' + std::to_string(task.server_born);
+        append_crashes(task.crashes, text);
+        text += ' ';
         text += task.checkpoint.empty() ? empty_text : std::string_view(task.checkpoint);
     }
     return text;
--- a/src/job/progress.hpp
+++ b/src/job/progress.hpp
@@ -29,6 +29,28 @@
     }
 };
 
+/// What is known of backend servers that crashed while they ran a task.
+struct crash_history
+{
+    /// Crashes shortly after the start of one of its runs.
+    int crashes = 0;
+    /// Number of the latest run that a crash was counted for.
+    int crashed_run = 0;
+    /// True if it was among the last tasks started before the latest of these crashes.
+    bool suspect = false;
+    /// Number of the run whose server has closed its connection, until the server answers again or
+    /// its end is confirmed; 0 for none.
+    int exposed_run = 0;
+    /// True if that run had been started just before.
+    bool exposed_at_start = false;
+    /// True if only tasks of this job were on that server.
+    bool exposed_alone = false;
+    /// Machine of that server, by which a later owner recognises the next incarnation.
+    std::string machine;
+
+    friend bool operator==(const crash_history&, const crash_history&) = default;
+};
+
 /// Stored progress of a task that has been started or has ended.
 struct task_progress
 {
@@ -46,6 +68,7 @@
     std::int64_t server_born = 0;
     /// Checkpoint to resume from, or empty.
     std::string checkpoint;
+    crash_history crashes{};
 
     friend bool operator==(const task_progress&, const task_progress&) = default;
 };
--- a/src/manager/owner_session_orders.cpp
+++ b/src/manager/owner_session_orders.cpp
@@ -127,12 +127,20 @@
             outcome = worker::order_outcome::unknown;
         }
         const bool is_permitted = may_send();
-        if (outcome == worker::order_outcome::unknown ||
-            (outcome == worker::order_outcome::not_sent && is_permitted))
+        const bool is_unsent = outcome == worker::order_outcome::not_sent;
+        if (is_unsent)
+        {
+            // First, as a task that was not sent is not responsible for the end of its server.
+            scheduler_.start_answered(order, outcome, shared_.now());
+        }
+        if (outcome == worker::order_outcome::unknown || (is_unsent && is_permitted))
         {
             scheduler_.call_unanswered(order.server, order.server_born, failure, shared_.now());
         }
-        scheduler_.start_answered(order, outcome, shared_.now());
+        if (!is_unsent)
+        {
+            scheduler_.start_answered(order, outcome, shared_.now());
+        }
         wake_server(order.server);
         if (outcome != worker::order_outcome::accepted)
         {
--- /dev/null
+++ b/src/scheduler/crash_blame.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "job/progress.hpp"
+#include "scheduler/settings.hpp"
+#include "worker/model.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+/// Decides which tasks are held responsible for crashes of backend servers. A task may crash every
+/// server that starts it; other runs on the server are lost with it and must not be given up. A
+/// crash is first only suspected, when the server closes its connection, and counts once a later
+/// incarnation proves that the process has ended. A server that is silent, cut off or drained, or
+/// that ends by the manager's own order, has not crashed.
+namespace lacewingquay::scheduler
+{
+
+/// What follows from a confirmed crash for one task.
+enum class crash_verdict : std::uint8_t
+{
+    counted,
+    /// The task has crashed enough servers and was alone on the last one.
+    give_up
+};
+
+/// Notes that the server of a run has closed its connection `age` after the run was started.
+/// `alone` is true if only tasks of the same job were there. Returns false if the run is too old to
+/// be responsible or is noted already.
+bool suspect_crash(job::crash_history& history, int run, milliseconds age, bool alone,
+                   std::string_view machine, const settings& values);
+
+/// Handles an answer of the same incarnation: it has not crashed.
+void clear_suspicion(job::crash_history& history);
+
+/// A run whose server has closed its connection.
+struct exposed_run
+{
+    worker::task_name task;
+    int run = 0;
+    /// As `exposed_at_start` and `exposed_alone` of the history.
+    bool at_start = false;
+    bool alone = false;
+    std::string server;
+    std::int64_t born = 0;
+    std::string machine;
+};
+
+/// Handles the proof that the server of the run has ended.
+[[nodiscard]] crash_verdict confirm_crash(job::crash_history& history, const exposed_run& exposed,
+                                          const settings& values);
+
+/// True if the task is started only on a server without tasks of other jobs, so that the next crash
+/// shows whether it is responsible.
+[[nodiscard]] bool needs_isolation(const job::crash_history& history, const settings& values);
+
+/// True if no task of another job may join the task's server, `age` after the task's start.
+[[nodiscard]] bool needs_exclusive_server(const job::crash_history& history, milliseconds age,
+                                          const settings& values);
+
+} // namespace lacewingquay::scheduler
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -140,6 +140,7 @@
         task.failures = saved.failures;
         task.failed_run = saved.failed_run;
         task.checkpoint = saved.checkpoint;
+        task.crashes = saved.crashes;
         if (saved.done)
         {
             finish_task(ref);
@@ -160,7 +161,18 @@
         --ref.parent_step().waiting;
         attach(ref, server);
         task.phase = task_phase::unresolved;
+        task.started = now;
         task.resolve_after = now;
+        if (saved.crashes.exposed_run == saved.run)
+        {
+            exposed_runs_.push_back({{job.record.id, saved.position},
+                                     saved.run,
+                                     saved.crashes.exposed_at_start,
+                                     saved.crashes.exposed_alone,
+                                     saved.server,
+                                     saved.server_born,
+                                     saved.crashes.machine});
+        }
         if (job::is_final(job.reported_state))
         {
             task.stop_wanted = true;
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -4,6 +4,7 @@
 #include "job/model.hpp"
 #include "job/progress.hpp"
 #include "manager/configuration.hpp"
+#include "scheduler/crash_blame.hpp"
 #include "scheduler/load.hpp"
 #include "scheduler/settings.hpp"
 #include "scheduler/state.hpp"
@@ -201,6 +202,20 @@
     /// fenced by a stop order there, and only then is the task started elsewhere.
     void fence_runs(server_state& server, steady_time now);
     void lose_runs(server_state& server, std::string_view reason, steady_time now);
+    /// Handles an answer to a call of this incarnation.
+    void record_answer(server_state& server, steady_time now);
+    /// The task that counts crashes for `ref`: a gang's are counted for its first task.
+    [[nodiscard]] static task_ref counted_task(const task_ref& ref);
+    /// Notes the runs that may be responsible if the server has crashed.
+    void suspect_runs(const server_state& server, steady_time now);
+    /// The server has answered after its connection was closed.
+    void clear_suspects(const server_state& server);
+    /// Counts the crash of an incarnation that is known to have ended.
+    void confirm_crashes(const worker::server& ended);
+    /// Counts the crashes of the incarnations before `started` on its machine.
+    void confirm_crashes_before(const worker::server& started);
+    template <typename Predicate>
+    void blame_runs(Predicate has_ended);
     void mark_dirty(job_state& job);
     [[nodiscard]] bool find_task(const worker::task_name& name, task_ref& ref);
     [[nodiscard]] server_state& server_entry(const std::string& id, std::int64_t born);
@@ -225,6 +240,8 @@
     std::multimap<milliseconds, std::string> finished_;
     std::unordered_map<std::string, milliseconds> finished_ids_;
     std::vector<std::string> ended_;
+    /// Runs that are responsible if their server has crashed.
+    std::vector<exposed_run> exposed_runs_;
     std::vector<job_state*> dirty_;
     std::vector<task_ref> assigned_;
     /// Reported runs that are not the current run of a task, by server and task; each is stopped.
--- a/src/scheduler/scheduler_batch.cpp
+++ b/src/scheduler/scheduler_batch.cpp
@@ -80,6 +80,7 @@
                 saved.failures = task.failures;
                 saved.failed_run = task.failed_run;
                 saved.checkpoint = task.checkpoint;
+                saved.crashes = task.crashes;
                 if (task.server != nullptr)
                 {
                     saved.server = task.server->info.id;
@@ -204,6 +205,7 @@
         {
             ref.task().phase = task_phase::starting;
             ref.task().since = now;
+            ref.task().started = now;
         }
     }
     for (const std::pair<std::string, std::int64_t>& entry : work.acknowledgements)
--- /dev/null
+++ b/src/scheduler/scheduler_crashes.cpp
@@ -0,0 +1,164 @@
+#include "core/log.hpp"
+#include "scheduler/crash_blame.hpp"
+#include "scheduler/scheduler.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingquay::scheduler
+{
+
+task_ref scheduler::counted_task(const task_ref& ref)
+{
+    return ref.definition().gang ? task_ref{ref.job, ref.occurrence, ref.step, 0} : ref;
+}
+
+void scheduler::call_unanswered(std::string_view id, std::int64_t born,
+                                worker::call_failure failure, steady_time now)
+{
+    server_state* server = find_server(id);
+    if (server == nullptr || server->info.born != born)
+    {
+        return;
+    }
+    ++server->unanswered;
+    if (failure == worker::call_failure::disconnected && !server->disconnected)
+    {
+        server->disconnected = true;
+        suspect_runs(*server, now);
+    }
+}
+
+void scheduler::record_answer(server_state& server, steady_time now)
+{
+    server.last_answer = now;
+    clear_suspects(server);
+    server.disconnected = false;
+    server.unanswered = 0;
+}
+
+void scheduler::suspect_runs(const server_state& server, steady_time now)
+{
+    if (server.info.draining || server.ending)
+    {
+        return;
+    }
+    std::erase_if(exposed_runs_,
+                  [&](const exposed_run& entry) { return !jobs_.contains(entry.task.job); });
+    for (const task_ref& ref : server.tasks)
+    {
+        const task_state& task = ref.task();
+        // An order whose answer is overdue may never have arrived.
+        const bool is_doubtful = task.phase != task_phase::running && task.stop_wanted;
+        if (!has_run(task) || is_doubtful || job::is_final(ref.job->reported_state))
+        {
+            continue;
+        }
+        const bool alone = std::all_of(server.tasks.begin(), server.tasks.end(),
+                                       [&](const task_ref& other)
+                                       { return other.job == ref.job || !has_run(other.task()); });
+        const milliseconds age = std::chrono::duration_cast<milliseconds>(now - task.started);
+        const task_ref counted = counted_task(ref);
+        if (suspect_crash(counted.task().crashes, task.run, age, alone, server.info.machine,
+                          settings_))
+        {
+            const job::crash_history& history = counted.task().crashes;
+            exposed_runs_.push_back({{ref.job->record.id, counted.position()},
+                                     task.run,
+                                     history.exposed_at_start,
+                                     history.exposed_alone,
+                                     server.info.id,
+                                     server.info.born,
+                                     server.info.machine});
+            mark_dirty(*ref.job);
+        }
+    }
+}
+
+void scheduler::clear_suspects(const server_state& server)
+{
+    std::erase_if(exposed_runs_,
+                  [&](const exposed_run& entry)
+                  {
+                      if (entry.server != server.info.id || entry.born != server.info.born)
+                      {
+                          return false;
+                      }
+                      task_ref ref;
+                      if (find_task(entry.task, ref) && ref.task().crashes.exposed_run == entry.run)
+                      {
+                          clear_suspicion(ref.task().crashes);
+                          mark_dirty(*ref.job);
+                      }
+                      return true;
+                  });
+}
+
+void scheduler::confirm_crashes(const worker::server& ended)
+{
+    const server_state* server = find_server(ended.id);
+    if (server != nullptr && server->info.born == ended.born &&
+        (server->ending || server->info.draining))
+    {
+        clear_suspects(*server);
+        return;
+    }
+    blame_runs([&](const exposed_run& entry)
+               { return entry.server == ended.id && entry.born == ended.born; });
+}
+
+void scheduler::confirm_crashes_before(const worker::server& started)
+{
+    blame_runs(
+        [&](const exposed_run& entry)
+        {
+            return entry.born < started.born &&
+                   (entry.server == started.id ||
+                    (!entry.machine.empty() && entry.machine == started.machine));
+        });
+}
+
+template <typename Predicate>
+void scheduler::blame_runs(Predicate has_ended)
+{
+    std::vector<exposed_run> crashed;
+    std::erase_if(exposed_runs_,
+                  [&](const exposed_run& entry)
+                  {
+                      const bool ended = has_ended(entry);
+                      if (ended)
+                      {
+                          crashed.push_back(entry);
+                      }
+                      return ended;
+                  });
+    for (const exposed_run& entry : crashed)
+    {
+        task_ref ref;
+        if (!find_task(entry.task, ref) || ref.task().phase == task_phase::done ||
+            job::is_final(ref.job->reported_state))
+        {
+            continue;
+        }
+        job::crash_history& history = ref.task().crashes;
+        const crash_verdict verdict = confirm_crash(history, entry, settings_);
+        mark_dirty(*ref.job);
+        log_event(log_level::warning,
+                  verdict == crash_verdict::give_up ? "task_given_up" : "task_suspected",
+                  {{"job", entry.task.job},
+                   {"step", entry.task.position.step},
+                   {"index", entry.task.position.index},
+                   {"run", entry.run},
+                   {"server", entry.server},
+                   {"machine", entry.machine},
+                   {"crashes", history.crashes},
+                   {"at_start", entry.at_start},
+                   {"alone", entry.alone}});
+        if (verdict == crash_verdict::give_up)
+        {
+            finish_job(*ref.job, job::state::failed);
+        }
+    }
+}
+
+} // namespace lacewingquay::scheduler
--- a/src/scheduler/scheduler_reports.cpp
+++ b/src/scheduler/scheduler_reports.cpp
@@ -27,14 +27,14 @@
     server_state& server = *found;
     if (report.born > server.info.born)
     {
+        confirm_crashes(server.info);
         fence_runs(server, now);
         server.info.born = report.born;
         server.ends_read = 0;
         server.ends_stored = 0;
     }
     now_ = now;
-    server.last_answer = now;
-    server.unanswered = 0;
+    record_answer(server, now);
     server.fencing_confirmed = true;
     server.clock_known = true;
     server.clock_offset =
@@ -135,8 +135,7 @@
         task.server == server && task.run == order.run && server->info.born == order.server_born;
     if (outcome == order_outcome::accepted)
     {
-        server->last_answer = now;
-        server->unanswered = 0;
+        record_answer(*server, now);
         if (current && task.phase == task_phase::starting)
         {
             task.phase = task_phase::running;
--- a/src/scheduler/scheduler_servers.cpp
+++ b/src/scheduler/scheduler_servers.cpp
@@ -35,6 +35,7 @@
     if (info.born > server.info.born)
     {
         server.incarnation_ended = false;
+        confirm_crashes(server.info);
         fence_runs(server, now);
         server.ends_read = 0;
         server.ends_stored = 0;
@@ -51,6 +52,7 @@
     if (!server.registered)
     {
         end_earlier_incarnations(info, now);
+        confirm_crashes_before(info);
         server.joined = now;
         server.idle_since = now;
         server.last_answer = now;
@@ -135,6 +137,7 @@
     {
         return;
     }
+    confirm_crashes(server->info);
     lose_runs(*server, "this server incarnation has ended", now);
     server->incarnation_ended = true;
     server->registered = false;
@@ -219,22 +222,6 @@
            max_lag + settings_.lease;
 }
 
-void scheduler::call_unanswered(std::string_view id, std::int64_t born,
-                                worker::call_failure failure, steady_time now)
-{
-    server_state* server = find_server(id);
-    if (server == nullptr || server->info.born != born)
-    {
-        return;
-    }
-    if (server->unanswered == 0)
-    {
-        server->first_failure = failure;
-        server->first_failure_at = now;
-    }
-    ++server->unanswered;
-}
-
 void scheduler::check_run_progress(const task_ref& ref, int percent, steady_time now)
 {
     task_state& task = ref.task();
--- a/src/scheduler/settings.hpp
+++ b/src/scheduler/settings.hpp
@@ -39,6 +39,14 @@
     /// A server that has neither answered nor renewed its registration for this long gets no new
     /// runs. Registrations are renewed every 1.5 s.
     milliseconds silence_timeout{2'600};
+    /// A run that is older than this when its server crashes is not responsible.
+    milliseconds crash_window{2'000};
+    /// Runs that are younger than this when their server crashes are started alone next time.
+    milliseconds crash_at_start{250};
+    /// After this time of its run, a task that was on a crashed server shares its server again.
+    milliseconds isolation_time{1'000};
+    /// A task under which this many servers have crashed is given up, if it was alone on the last.
+    int crashes_to_give_up = 2;
     /// Delay from a run's end until the report of it is read and the next task is started. A job
     /// with less slack counts as late; otherwise, under overload, each job in turn would start just
     /// too late.
--- a/src/scheduler/state.hpp
+++ b/src/scheduler/state.hpp
@@ -48,6 +48,10 @@
     std::string checkpoint;
     /// When the task entered `starting` or `running`.
     steady_time since{};
+    /// When the latest run's start order was stored or, after a takeover, the run was taken over.
+    steady_time started{};
+    /// For a gang, that of its first task counts.
+    job::crash_history crashes;
     /// Reports requested before this do not resolve an `unresolved` run.
     steady_time resolve_after{};
     /// The run has to be stopped.
@@ -196,9 +200,8 @@
     steady_time last_answer{};
     /// Calls since the last answer that were not answered.
     int unanswered = 0;
-    /// Kind and time of the first of these.
-    worker::call_failure first_failure = worker::call_failure::none;
-    steady_time first_failure_at{};
+    /// One of these was closed or refused, as when the process has ended.
+    bool disconnected = false;
     /// Time of the last registration that was read.
     steady_time last_registration{};
     steady_time idle_since{};
--- a/tests/job/job_test.cpp
+++ b/tests/job/job_test.cpp
@@ -39,6 +39,16 @@
         task.server = *rc::gen::arbitrary<bool>() ? "i-7f3a91c2" : "";
         task.server_born = *rc::gen::inRange<std::int64_t>(0, 2'000'000'000'000);
         task.checkpoint = *rc::gen::arbitrary<bool>() ? "00000bb87a21d94b" : "";
+        if (*rc::gen::arbitrary<bool>())
+        {
+            task.crashes.crashes = *rc::gen::inRange(0, 4);
+            task.crashes.crashed_run = *rc::gen::inRange(0, 100);
+            task.crashes.suspect = *rc::gen::arbitrary<bool>();
+            task.crashes.exposed_run = *rc::gen::inRange(0, 100);
+            task.crashes.exposed_at_start = *rc::gen::arbitrary<bool>();
+            task.crashes.exposed_alone = *rc::gen::arbitrary<bool>();
+            task.crashes.machine = *rc::gen::arbitrary<bool>() ? "m-17" : "";
+        }
         value.tasks.push_back(task);
     }
     return value;
@@ -59,6 +69,18 @@
              });
 }
 
+TEST_CASE("progress that was stored without crashes is still read", "[job]")
+{
+    const std::optional<progress> value =
+        parsed<progress>([] { return parse_progress("running 0\n0.0.1 0 2 0 0 i-7f 1700 check"); });
+    REQUIRE(value);
+    CHECK(value->tasks.front().server_born == 1'700);
+    CHECK(value->tasks.front().checkpoint == "check");
+    CHECK(value->tasks.front().crashes == crash_history{});
+    CHECK_FALSE(parsed<progress>(
+        [] { return parse_progress("running 0\n0.0.1 0 2 0 0 i-7f 1700/1 check"); }));
+}
+
 TEST_CASE("corrupt progress is rejected or parsed, but never crashes the parser", "[job]")
 {
     rc::prop("random bytes",
--- a/tests/scheduler/scheduler_simulation.cpp
+++ b/tests/scheduler/scheduler_simulation.cpp
@@ -13,6 +13,9 @@
 constexpr milliseconds restart_time{1'500};
 constexpr milliseconds takeover_time{2'500};
 constexpr milliseconds partition_time{4'000};
+constexpr milliseconds replacement_time{3'000};
+/// A registration outlives its server by three heartbeats.
+constexpr milliseconds registration_time{4'500};
 
 } // namespace
 
@@ -120,7 +123,9 @@
     known_to_owner_.clear();
     for (const auto& entry : servers_)
     {
-        if (reachable(entry.second))
+        const fake_server& server = entry.second;
+        const bool lingers = server.replaced && now_ < server.registered_until;
+        if (!server.registration.id.empty() && (reachable(server) || lingers))
         {
             owner_->update_server(entry.second.registration, now_);
         }
@@ -136,6 +141,12 @@
                 [&]() -> boost::leaf::result<bool>
                 {
                     BOOST_LEAF_ASSIGN(stored, job::parse_progress(found->second));
+                    for (job::task_progress& task : stored.tasks)
+                    {
+                        task.crashes = bug_ == injected_bug::crashes_not_stored
+                                           ? job::crash_history{}
+                                           : task.crashes;
+                    }
                     return true;
                 },
                 [] { return false; });
@@ -168,6 +179,10 @@
     {
         record_violation("start beyond the maximum attempts of " + task.job);
     }
+    if (own_crashes_[task] >= 3 && ++starts_after_crashes_[task] >= 3)
+    {
+        record_violation("three more starts after three crashes under " + task.job);
+    }
     const job::record& record = jobs_.at(task.job);
     const std::size_t step = static_cast<std::size_t>(task.position.step);
     for (const std::size_t earlier : record.work.steps[step].after)
@@ -188,6 +203,10 @@
 {
     using worker::order_outcome;
     fake_server& server = servers_[order.server];
+    if (server.is_replaced_now)
+    {
+        return order_outcome::other_server;
+    }
     if (!reachable(server))
     {
         return order_outcome::unknown;
@@ -231,7 +250,12 @@
     run_entry entry;
     entry.run = order.run;
     entry.kind = chance(rates_.task_fails) ? worker::end_kind::failed : worker::end_kind::done;
-    entry.end_at = step.long_running ? steady_time::max() : now_ + step.estimate;
+    if (deadly_.contains(order.task))
+    {
+        entry.crash_at = now_ + milliseconds(50 * (random_() % 21));
+    }
+    entry.end_at = step.long_running || deadly_.contains(order.task) ? steady_time::max()
+                                                                     : now_ + step.estimate;
     server.running[order.task] = entry;
     return order_outcome::accepted;
 }
@@ -301,12 +325,111 @@
                   [&](const worker::ended_task& ended) { return ended.number <= number; });
 }
 
+int scheduler_simulation::crashes_under(const worker::task_name& task) const
+{
+    const auto found = crashes_.find(task);
+    return found == crashes_.end() ? 0 : found->second;
+}
+
+int scheduler_simulation::most_crashes(const std::string& job) const
+{
+    int most = 0;
+    for (const std::pair<const worker::task_name, int>& entry : crashes_)
+    {
+        most = entry.first.job == job ? std::max(most, entry.second) : most;
+    }
+    return most;
+}
+
+void scheduler_simulation::set_capacity(job::resources capacity)
+{
+    for (auto& entry : servers_)
+    {
+        entry.second.info.capacity = capacity;
+    }
+}
+
+void scheduler_simulation::kill_owner()
+{
+    owner_.reset();
+    next_owner_at_ = now_ + takeover_time;
+}
+
+void scheduler_simulation::count_crash(const fake_server& server)
+{
+    for (const std::pair<const worker::task_name, run_entry>& running : server.running)
+    {
+        ++crashes_[running.first];
+    }
+    // An end that is lost with the server cannot be told from a crash.
+    for (const worker::ended_task& ended : server.ended)
+    {
+        ++crashes_[ended.task];
+    }
+}
+
+void scheduler_simulation::crash_servers()
+{
+    for (auto& entry : servers_)
+    {
+        fake_server& server = entry.second;
+        const bool crashes =
+            server.up && std::any_of(server.running.begin(), server.running.end(),
+                                     [&](const std::pair<const worker::task_name, run_entry>& run)
+                                     { return run.second.crash_at <= now_; });
+        if (!crashes)
+        {
+            continue;
+        }
+        count_crash(server);
+        for (const std::pair<const worker::task_name, run_entry>& running : server.running)
+        {
+            own_crashes_[running.first] += running.second.crash_at <= now_ ? 1 : 0;
+        }
+        server.up = false;
+        server.replaced = true;
+        server.running.clear();
+        server.ended.clear();
+        server.restart_at = now_ + replacement_time;
+        server.registered_until = now_ + registration_time;
+        // The pending poll is closed at once.
+        server.next_poll = now_;
+    }
+}
+
+void scheduler_simulation::replace_servers()
+{
+    std::vector<fake_server> started;
+    for (auto& entry : servers_)
+    {
+        fake_server& server = entry.second;
+        if (!server.replaced || server.is_replaced_now || server.restart_at > now_)
+        {
+            continue;
+        }
+        server.is_replaced_now = true;
+        fake_server next;
+        next.info = server.info;
+        next.info.id = "s" + std::to_string(servers_.size() + started.size());
+        next.info.born += 1'000;
+        next.register_at = now_ + milliseconds(50 * (random_() % 20));
+        started.push_back(std::move(next));
+    }
+    for (fake_server& server : started)
+    {
+        const std::string id = server.info.id;
+        servers_[id] = std::move(server);
+    }
+}
+
 void scheduler_simulation::advance_servers()
 {
+    crash_servers();
+    replace_servers();
     for (auto& entry : servers_)
     {
         fake_server& server = entry.second;
-        if (!server.up && server.restart_at <= now_)
+        if (!server.up && !server.replaced && server.restart_at <= now_)
         {
             server.up = true;
             server.info.born += 1'000;
@@ -349,6 +472,7 @@
         }
         if (chance(rates_.server_crash))
         {
+            count_crash(server);
             server.up = false;
             server.running.clear();
             server.ended.clear();
@@ -421,7 +545,8 @@
     }
     if (outcome == order_outcome::unknown)
     {
-        owner_->call_unanswered(order.server, order.server_born, failure_of(order.server), now_);
+        owner_->call_unanswered(order.server, order.server_born, worker::call_failure::silence,
+                                now_);
     }
     owner_->start_answered(order, outcome, now_);
 }
@@ -439,6 +564,11 @@
         server.next_poll = now_ + poll_interval;
         const milliseconds lease =
             known->tasks.empty() ? milliseconds(0) : owner_->grant_lease(*known, now_);
+        if (server.is_replaced_now)
+        {
+            owner_->end_incarnation(entry.first, known->info.born, now_);
+            continue;
+        }
         if (!reachable(server))
         {
             owner_->call_unanswered(entry.first, known->info.born, failure_of(entry.first), now_);
@@ -515,8 +645,7 @@
     advance_servers();
     if (owner_ && chance(rates_.owner_killed))
     {
-        owner_.reset();
-        next_owner_at_ = now_ + takeover_time;
+        kill_owner();
     }
     if (!owner_)
     {
--- a/tests/scheduler/scheduler_simulation.hpp
+++ b/tests/scheduler/scheduler_simulation.hpp
@@ -29,7 +29,9 @@
     /// A start without an answer is treated as not run.
     unanswered_start_is_not_run,
     /// A new owner immediately repeats the runs of servers that it cannot reach.
-    takeover_without_waiting
+    takeover_without_waiting,
+    /// A new owner does not know which tasks have crashed servers.
+    crashes_not_stored
 };
 
 /// Probabilities of faults, for each order or each step of 50 ms.
@@ -62,6 +64,16 @@
     /// Cancels a job.
     void cancel(const std::string& id);
 
+    /// Makes a task crash each server that starts it, at most 1 s after the start. The server
+    /// returns after 3 s under a new id, on the same machine.
+    void make_deadly(const worker::task_name& task) { deadly_.insert(task); }
+
+    /// Ends the owner's process; another one takes over after 2.5 s.
+    void kill_owner();
+
+    /// Changes what the servers can run from now on; a server registers the change some time later.
+    void set_capacity(job::resources capacity);
+
     /// Advances by one step of 50 ms.
     void step();
     void run(milliseconds time);
@@ -72,6 +84,10 @@
     [[nodiscard]] const std::vector<std::string>& violations() const { return violations_; }
     [[nodiscard]] job::state reported_state(const std::string& id) const;
     [[nodiscard]] std::size_t starts() const { return starts_; }
+    /// Crashes of servers while they ran the task.
+    [[nodiscard]] int crashes_under(const worker::task_name& task) const;
+    /// The most such crashes for one task of the job.
+    [[nodiscard]] int most_crashes(const std::string& job) const;
     [[nodiscard]] std::size_t owners() const { return static_cast<std::size_t>(term_); }
     [[nodiscard]] scheduler::scheduler& owner() { return *owner_; }
     [[nodiscard]] steady_time now() const { return now_; }
@@ -83,6 +99,8 @@
         steady_time end_at{};
         worker::end_kind kind = worker::end_kind::done;
         std::string job;
+        /// When it crashes the server.
+        steady_time crash_at = steady_time::max();
     };
 
     struct fake_server
@@ -93,6 +111,11 @@
         steady_time register_at{};
         bool up = true;
         steady_time restart_at{};
+        /// Crashed by a task: its machine's next incarnation has another id.
+        bool replaced = false;
+        bool is_replaced_now = false;
+        /// Until then a new owner still reads its registration.
+        steady_time registered_until{};
         steady_time partitioned_until{};
         std::int64_t highest_token = 0;
         steady_time lease_end{};
@@ -117,6 +140,9 @@
     void commit();
     void poll_servers();
     void advance_servers();
+    void crash_servers();
+    void replace_servers();
+    void count_crash(const fake_server& server);
     void deliver_delayed_starts();
     worker::order_outcome start(const worker::start_order& order, std::int64_t token,
                                 steady_time deadline);
@@ -150,6 +176,11 @@
     std::map<worker::task_name, int> acknowledged_failures_;
     std::map<worker::task_name, steady_time> last_start_;
     std::map<std::string, steady_time> lapsed_;
+    std::set<worker::task_name> deadly_;
+    std::map<worker::task_name, int> crashes_;
+    /// Those of `crashes_` that the task itself caused.
+    std::map<worker::task_name, int> own_crashes_;
+    std::map<worker::task_name, int> starts_after_crashes_;
     std::vector<std::string> violations_;
     std::size_t starts_ = 0;
     int max_attempts_ = 4;
