Start tasks that may have crashed a server alone

A task that shares servers can't be told from its neighbours: each crash counts for all runs just started there. A task that was started in the last 250 ms before a crash, or has seen two crashes, is now placed only on a server without tasks of other jobs, and none joins it for the first second of its run, or at all after two crashes. So such tasks of different jobs never meet, the next crash shows which one is responsible, and sound work is cleared by running on. Some servers, at most a quarter of a pool or as many as a gang needs, take no other tasks until they are empty, so that a busy pool doesn't starve these tasks. The other tasks of the job go on as usual.

Bound: the second counted crash is alone if the first came right after the start, and any later one is, so at most three are counted; each takeover can hide at most one. Two hidden crashes leave two starts after the third crash.

--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -1,9 +1,11 @@
+#include "scheduler/crash_blame.hpp"
 #include "scheduler/scheduler.hpp"
 #include "scheduler/work_estimate.hpp"
 
 #include <algorithm>
 #include <limits>
 #include <optional>
+#include <tuple>
 #include <utility>
 
 /// Order of waiting jobs and choice of servers. When a queue asks for several times the capacity of
@@ -86,6 +88,7 @@
         std::vector<candidate> waiting = collect();
         std::sort(waiting.begin(), waiting.end(),
                   [](const candidate& left, const candidate& right) { return left.before(right); });
+        hold_servers(waiting);
         for (const candidate& entry : waiting)
         {
             place_job(entry);
@@ -93,6 +96,106 @@
     }
 
 private:
+    /// Waiting tasks of one pool that need a server without tasks of other jobs.
+    struct isolated_tasks
+    {
+        std::size_t count = 0;
+        /// Tasks of the largest such gang.
+        std::size_t largest_gang = 0;
+    };
+
+    [[nodiscard]] bool is_isolated(const task_ref& ref) const
+    {
+        return needs_isolation(scheduler::counted_task(ref).task().crashes, owner_.settings_);
+    }
+
+    [[nodiscard]] bool excludes_others(const task_ref& ref) const
+    {
+        const task_state& task = ref.task();
+        const milliseconds age =
+            task.phase == task_phase::assigned
+                ? milliseconds(0)
+                : std::chrono::duration_cast<milliseconds>(now_ - task.started);
+        return needs_exclusive_server(scheduler::counted_task(ref).task().crashes, age,
+                                      owner_.settings_);
+    }
+
+    /// A task that has to run alone shares its server only with tasks of its own job, which ends
+    /// with it if it is given up.
+    [[nodiscard]] bool may_share(const server_state& server, const task_ref& ref,
+                                 bool isolated) const
+    {
+        if (server.held && !isolated)
+        {
+            return false;
+        }
+        return std::all_of(server.tasks.begin(), server.tasks.end(),
+                           [&](const task_ref& other) {
+                               return other.job == ref.job ||
+                                      (!isolated && !excludes_others(other));
+                           });
+    }
+
+    [[nodiscard]] isolated_tasks count_isolated(const candidate& entry) const
+    {
+        isolated_tasks result;
+        const occurrence_state& occurrence = entry.job->occurrences[entry.occurrence];
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step)
+        {
+            const step_state& state = occurrence.steps[step];
+            std::size_t count = 0;
+            for (std::size_t index = 0; state.open && index < state.tasks.size(); ++index)
+            {
+                count += state.tasks[index].phase == task_phase::waiting &&
+                                 is_isolated({entry.job, entry.occurrence, step, index})
+                             ? 1
+                             : 0;
+            }
+            result.count += count;
+            if (entry.job->record.work.steps[step].gang)
+            {
+                result.largest_gang = std::max(result.largest_gang, count);
+            }
+        }
+        return result;
+    }
+
+    /// Keeps some servers free of new tasks until they are empty, so that tasks that have to run
+    /// alone do not wait forever in a busy pool.
+    void hold_servers(const std::vector<candidate>& waiting)
+    {
+        std::map<std::string, isolated_tasks> isolated;
+        for (const candidate& entry : waiting)
+        {
+            const isolated_tasks found = count_isolated(entry);
+            isolated_tasks& sum = isolated[entry.job->queue.pool];
+            sum.count += found.count;
+            sum.largest_gang = std::max(sum.largest_gang, found.largest_gang);
+        }
+        for (auto& entry : pools_)
+        {
+            std::vector<server_state*> servers = entry.second;
+            const isolated_tasks needed = isolated[entry.first];
+            const std::size_t most =
+                std::max(needed.largest_gang, std::max<std::size_t>(1, servers.size() / 4));
+            std::size_t count = std::min({needed.count, most, servers.size()});
+            // Servers that are held already stay so; then those that are empty soonest.
+            std::stable_sort(servers.begin(), servers.end(),
+                             [](const server_state* left, const server_state* right)
+                             { return hold_order(*left) < hold_order(*right); });
+            for (server_state* server : servers)
+            {
+                server->held = count > 0;
+                count -= count > 0 ? 1 : 0;
+            }
+        }
+    }
+
+    [[nodiscard]] static std::tuple<bool, int, std::size_t> hold_order(const server_state& server)
+    {
+        return {!server.held, server.long_running_tasks, server.tasks.size()};
+    }
+
     std::vector<candidate> collect()
     {
         std::vector<candidate> waiting;
@@ -165,6 +268,10 @@
                     {
                         count_unplaceable(ref);
                     }
+                    if (is_isolated(ref))
+                    {
+                        continue;
+                    }
                     break;
                 }
                 assign(ref, *server);
@@ -208,6 +315,7 @@
         ++task.run;
         task.phase = task_phase::assigned;
         task.stop_wanted = false;
+        server.held = false;
         owner_.attach(ref, server);
         owner_.assigned_.push_back(ref);
         owner_.mark_dirty(*ref.job);
@@ -303,13 +411,14 @@
         {
             request.cpu = 0;
         }
+        const bool isolated = is_isolated(ref);
         server_state* best = nullptr;
         double best_score = std::numeric_limits<double>::max();
         for (server_state* server : pools_[ref.job->queue.pool])
         {
             if (!request.fits_into(server->info.capacity - server->used) ||
                 !has_label(*server, step.required_label) || !is_compatible(*server, step) ||
-                !is_permitted(*server, ref) ||
+                !is_permitted(*server, ref) || !may_share(*server, ref, isolated) ||
                 (step.max_per_server > 0 && runs_of_step(*server, ref) >= step.max_per_server))
             {
                 continue;
--- a/src/scheduler/state.hpp
+++ b/src/scheduler/state.hpp
@@ -178,6 +178,8 @@
     bool ending = false;
     /// No new runs: the machine is to be moved or maintained, or is being drained.
     bool closed = false;
+    /// No new tasks but those that have to run alone.
+    bool held = false;
     /// Its machine is due for maintenance in a wave, so long-running tasks would soon have to move.
     bool maintenance_due = false;
     /// Avoided until then, after refusals or failures; chosen only if no other server fits.
