--- a/src/scheduler/state.hpp
+++ b/src/scheduler/state.hpp
@@ -48,6 +48,10 @@
     std::string checkpoint;
     /// When the task entered `starting` or `running`.
     steady_time since{};
+    /// When the latest run's start order was stored or, after a takeover, the run was taken over.
+    steady_time started{};
+    /// For a gang, that of its first task counts.
+    job::crash_history crashes;
     /// Reports requested before this do not resolve an `unresolved` run.
     steady_time resolve_after{};
     /// The run has to be stopped.
@@ -177,6 +181,8 @@
     bool ending = false;
     /// No new runs: the machine is to be moved or maintained, or is being drained.
     bool closed = false;
+    /// No new tasks but those that have to run alone.
+    bool held = false;
     /// Its machine is due for maintenance in a wave, so long-running tasks would soon have to move.
     bool maintenance_due = false;
     /// Avoided until then, after refusals or failures; chosen only if no other server fits.
@@ -199,6 +205,8 @@
     steady_time last_answer{};
     /// Calls since the last answer that were not answered.
     int unanswered = 0;
+    /// One of these was closed or refused, as when the process has ended.
+    bool disconnected = false;
     /// Time of the last registration that was read.
     steady_time last_registration{};
     steady_time idle_since{};
