Respect a server's capacity that shrinks while it runs

A backend server may register a smaller capacity while it runs. Placement used the latest figure, but a task that had been assigned before was started whatever the figure was by then: while the store refused batches, for as long as it did. And a server whose long-running tasks exceeded what is left counted as negative capacity in the admission forecast, which took capacity of other servers from it. Orders are now checked against the registered capacity immediately before they are sent, and a task whose order does not fit is assigned anew; the forecast counts such a server as none.

--- a/src/manager/owner_session_orders.cpp
+++ b/src/manager/owner_session_orders.cpp
@@ -84,6 +84,7 @@
         }
         worker::order_outcome outcome = worker::order_outcome::not_sent;
         bool in_doubt = false;
+        bool has_room = true;
         worker::call_failure failure = worker::call_failure::none;
         for (int attempt = 0; attempt < 2; ++attempt)
         {
@@ -92,6 +93,11 @@
             {
                 break;
             }
+            has_room = in_doubt || scheduler_.has_room(order);
+            if (!has_room)
+            {
+                break;
+            }
             const milliseconds deadline = scheduler_.grant_lease(*server, shared_.now());
             if (deadline.count() == 0)
             {
@@ -133,7 +139,7 @@
             // First, as a task that was not sent is not responsible for the end of its server.
             scheduler_.start_answered(order, outcome, shared_.now());
         }
-        if (outcome == worker::order_outcome::unknown || (is_unsent && is_permitted))
+        if (outcome == worker::order_outcome::unknown || (is_unsent && is_permitted && has_room))
         {
             scheduler_.call_unanswered(order.server, order.server_born, failure, shared_.now());
         }
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -99,6 +99,10 @@
     void apply_report(std::string_view id, const worker::report& report, steady_time requested_at,
                       steady_time now);
 
+    /// True unless the server's capacity has shrunk since the order's task was assigned to it, so
+    /// that the order would start more than fits. To be checked immediately before it is sent.
+    [[nodiscard]] bool has_room(const worker::start_order& order) const;
+
     /// Handles the outcome of a start order.
     void start_answered(const worker::start_order& order, worker::order_outcome outcome,
                         steady_time now);
--- a/src/scheduler/scheduler_load.cpp
+++ b/src/scheduler/scheduler_load.cpp
@@ -114,7 +114,9 @@
             const job::step& step = ref.definition();
             long_running_cpu += step.long_running && !step.best_effort ? step.request.cpu : 0;
         }
-        pools[server.info.pool].cores += to_cores(server.info.capacity.cpu - long_running_cpu);
+        // The capacity may have shrunk below what runs.
+        pools[server.info.pool].cores +=
+            to_cores(std::max<std::int64_t>(0, server.info.capacity.cpu - long_running_cpu));
     }
     for (const auto& entry : jobs_)
     {
--- a/src/scheduler/scheduler_reports.cpp
+++ b/src/scheduler/scheduler_reports.cpp
@@ -120,6 +120,12 @@
     }
 }
 
+bool scheduler::has_room(const worker::start_order& order) const
+{
+    const auto found = servers_.find(order.server);
+    return found != servers_.end() && found->second->used.fits_into(found->second->info.capacity);
+}
+
 void scheduler::start_answered(const worker::start_order& order, worker::order_outcome outcome,
                                steady_time now)
 {
--- a/tests/scheduler/scheduler_simulation.cpp
+++ b/tests/scheduler/scheduler_simulation.cpp
@@ -243,6 +243,7 @@
         jobs_.at(order.task.job).work.steps[static_cast<std::size_t>(order.task.position.step)];
     if (!step.request.fits_into(server.info.capacity - used))
     {
+        ++starts_without_room_;
         return order_outcome::no_room;
     }
     check_start(order);
@@ -345,7 +346,13 @@
 {
     for (auto& entry : servers_)
     {
-        entry.second.info.capacity = capacity;
+        fake_server& server = entry.second;
+        server.info.capacity = capacity;
+        server.registration.capacity = capacity;
+        if (owner_ && reachable(server))
+        {
+            owner_->update_server(server.registration, now_);
+        }
     }
 }
 
@@ -519,7 +526,7 @@
         return;
     }
     const milliseconds granted = owner_->grant_lease(*server, now_);
-    if (granted.count() == 0)
+    if (granted.count() == 0 || !owner_->has_room(order))
     {
         owner_->start_answered(order, order_outcome::not_sent, now_);
         return;
--- a/tests/scheduler/scheduler_simulation.hpp
+++ b/tests/scheduler/scheduler_simulation.hpp
@@ -71,9 +71,12 @@
     /// Ends the owner's process; another one takes over after 2.5 s.
     void kill_owner();
 
-    /// Changes what the servers can run from now on; a server registers the change some time later.
+    /// Changes what the servers can run and register from now on.
     void set_capacity(job::resources capacity);
 
+    /// Start orders that did not fit on their server.
+    [[nodiscard]] std::size_t starts_without_room() const { return starts_without_room_; }
+
     /// Advances by one step of 50 ms.
     void step();
     void run(milliseconds time);
@@ -183,6 +186,7 @@
     std::map<worker::task_name, int> starts_after_crashes_;
     std::vector<std::string> violations_;
     std::size_t starts_ = 0;
+    std::size_t starts_without_room_ = 0;
     int max_attempts_ = 4;
 };
 
