Repeat runs that a takeover restores on an ended server at once

Cause: ended an incarnation only once and no longer polled ended ones. A new owner first learns that an incarnation has ended, from the registrations, and then restores runs there; the next proof of the end no longer freed them. Change: each proof of an end frees the runs; only the time for which the server is remembered is not extended again, and a server with runs is polled.

--- a/src/manager/owner_session_orders.cpp
+++ b/src/manager/owner_session_orders.cpp
@@ -191,9 +191,10 @@
             born = server->info.born;
             acknowledged = 0;
         }
-        const bool has_work = !server->incarnation_ended &&
-                              (!server->tasks.empty() || server->ends_stored > acknowledged ||
-                               !server->fencing_confirmed || server->unanswered > 0);
+        const bool has_work =
+            !server->tasks.empty() ||
+            (!server->incarnation_ended && (server->ends_stored > acknowledged ||
+                                            !server->fencing_confirmed || server->unanswered > 0));
         // A server known only from a stored run has no address until it registers.
         if (!has_work || server->info.endpoint.port == 0)
         {
--- a/src/scheduler/scheduler_servers.cpp
+++ b/src/scheduler/scheduler_servers.cpp
@@ -133,12 +133,17 @@
 void scheduler::end_incarnation(std::string_view id, std::int64_t born, steady_time now)
 {
     server_state* server = find_server(id);
-    if (server == nullptr || server->info.born != born || server->incarnation_ended)
+    if (server == nullptr || server->info.born != born)
     {
         return;
     }
     confirm_crashes(server->info);
+    // A takeover may have restored runs there after the end was first known.
     lose_runs(*server, "this server incarnation has ended", now);
+    if (server->incarnation_ended)
+    {
+        return;
+    }
     server->incarnation_ended = true;
     server->registered = false;
     server->lease_end = now;
--- a/tests/scheduler/scheduler_test.cpp
+++ b/tests/scheduler/scheduler_test.cpp
@@ -280,6 +280,27 @@
     CHECK(owner.find_server("old") == nullptr);
 }
 
+TEST_CASE("runs that a takeover restores on an ended server are repeated at once", "[scheduler]")
+{
+    // Guards against waiting for the longest lease there, 9 s, although the server is known to have
+    // ended.
+    scheduler::scheduler owner{scheduler::settings{}};
+    const steady_time now{std::chrono::hours(1)};
+    worker::server next = make_server("new", "m");
+    next.born = 2;
+    owner.update_server(next, now);
+    owner.update_server(make_server("old", "m"), now);
+    job::progress stored;
+    stored.reported_state = job::state::running;
+    stored.tasks.push_back({{0, 0, 0}, false, 1, 0, 0, "old", 1, ""});
+    owner.add_job(make_job("a", 1, 1, 1'000, milliseconds(500)), &stored, milliseconds(0), now);
+    REQUIRE(owner.prepare(now, 10).starts.empty());
+    owner.end_incarnation("old", 1, now + milliseconds(100));
+    const scheduler::batch work = owner.prepare(now + milliseconds(100), 10);
+    REQUIRE(work.starts.size() == 1);
+    CHECK(work.starts.front().server == "new");
+}
+
 TEST_CASE("an end that is reported again after a takeover counts once", "[scheduler]")
 {
     job::record record = make_job("a", 1, 1, 1'000, milliseconds(500));
