Renew the ownership while a new owner loads

Cause: an owner renews its row only once it schedules. A load that lasts longer than the failure timeout of 2.1 s looks like a failure, and the next host begins the same load. A conflict with a row of the same term never ends the term, as a renewal of the load may overtake the first commit. Evidence: "an owner that needs long to load is not taken for failed" fails before (no row is written while loading), and "an owner that loads can hand over" does not end.

--- a/src/manager/owner_election.cpp
+++ b/src/manager/owner_election.cpp
@@ -192,8 +192,8 @@
 
 void owner_election::consider_handover()
 {
-    if (session_ && session_->is_loaded() && !session_->ended() &&
-        session_->term() == shared_.owner.row().term && shared_.owner.should_hand_over())
+    if (session_ && !session_->ended() && session_->term() == shared_.owner.row().term &&
+        shared_.owner.should_hand_over())
     {
         session_->release("a stronger host has asked for it");
     }
--- a/src/manager/owner_session.cpp
+++ b/src/manager/owner_session.cpp
@@ -30,8 +30,6 @@
 /// Progress rows in one transaction; the other entries are its condition, the owner's rows and the
 /// removals of expired jobs.
 constexpr std::size_t max_progress_rows = 90;
-/// Interval between a new owner's attempts to read the tables.
-constexpr milliseconds load_retry_pause{100};
 /// Pause between reads of new jobs, so that jobs that arrive together are read together.
 constexpr milliseconds jobs_read_interval{5};
 /// Bound of one long poll for new jobs. Without new jobs, the counts of waiting jobs that hosts
@@ -63,6 +61,9 @@
 {
     boost::asio::co_spawn(
         shared_.io, [self = shared_from_this()] { return self->load(); }, boost::asio::detached);
+    boost::asio::co_spawn(
+        shared_.io, [self = shared_from_this()] { return self->renew_while_loading(); },
+        boost::asio::detached);
 }
 
 void owner_session::end(std::string_view reason)
@@ -98,39 +99,6 @@
     wake_timer_.cancel();
 }
 
-boost::asio::awaitable<void> owner_session::load()
-{
-    const std::shared_ptr<owner_session> self = shared_from_this();
-    table_read servers;
-    table_read progress;
-    while (!ended_)
-    {
-        servers = co_await read_table(shared_, std::string(servers_table));
-        // Not a conditional expression: g++ 12 destroys temporaries of one with co_await twice.
-        if (servers.ok)
-        {
-            progress = co_await read_table(shared_, std::string(progress_table));
-        }
-        if (servers.ok && progress.ok && shared_.current)
-        {
-            break;
-        }
-        co_await sleep_for(shared_, load_retry_pause);
-    }
-    if (ended_)
-    {
-        co_return;
-    }
-    configure();
-    for (adapter::row& row : progress.rows)
-    {
-        std::string key = row.key;
-        stored_progress_.emplace(std::move(key), std::move(row));
-    }
-    stored_servers_ = std::move(servers.rows);
-    co_await follow_jobs();
-}
-
 boost::asio::awaitable<void> owner_session::follow_servers()
 {
     const std::shared_ptr<owner_session> self = shared_from_this();
@@ -382,20 +350,25 @@
     {
         return false;
     }
+    apply_conflict(result);
+    return false;
+}
+
+void owner_session::apply_conflict(const adapter::commit_result& result)
+{
     for (const adapter::row& row : result.current)
     {
         const std::optional<owner_row> owner = parse_or_log(
             "owner_unreadable", row.key, row.version, [&] { return parse_owner(row.value); });
         const bool is_ours = owner && owner->host == shared_.config.host && owner->term == term_;
-        if (row.key == owner_key && is_ours && row.version != owner_version_)
+        if (row.key == owner_key && is_ours)
         {
-            // An earlier renewal whose response was lost has been performed.
+            // A renewal has been performed whose response was lost, or overtaken by this one.
             owner_version_ = row.version;
-            return false;
+            return;
         }
     }
     end("another host has taken over");
-    return false;
 }
 
 boost::asio::awaitable<void> owner_session::commit_loop()
--- a/src/manager/owner_session.hpp
+++ b/src/manager/owner_session.hpp
@@ -73,6 +73,9 @@
 
 private:
     boost::asio::awaitable<void> load();
+    /// Renews the owner's row until the first commit, and stores a release that is requested
+    /// meanwhile. A load that lasts too long is left to another host.
+    boost::asio::awaitable<void> renew_while_loading();
     boost::asio::awaitable<void> follow_servers();
     boost::asio::awaitable<void> follow_jobs();
     boost::asio::awaitable<void> commit_loop();
@@ -95,6 +98,8 @@
                                           const std::vector<std::string>& expired) const;
     bool apply_commit_result(const scheduler::batch& work, const adapter::commit_result& result,
                              bool renewed);
+    /// Handles a commit whose condition on the owner's row did not hold.
+    void apply_conflict(const adapter::commit_result& result);
     void end(std::string_view reason);
     void wake_server(const std::string& id);
 
--- a/tests/manager/owner_session_test.cpp
+++ b/tests/manager/owner_session_test.cpp
@@ -10,6 +10,7 @@
 #include <catch2/catch.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,17 +20,22 @@
 namespace
 {
 
-/// A store without rows that takes some time for each transaction.
+/// A store without rows that takes some time for each call.
 struct slow_store
 {
     boost::asio::awaitable<http::response> handle(http::request received)
     {
         const std::string target(received.target());
-        if (target.find("rows-tx") != std::string::npos)
+        const bool is_commit = target.find("rows-tx") != std::string::npos;
+        commits_started += is_commit ? 1 : 0;
+        const milliseconds time = is_commit ? commit_time : read_time;
+        if (time.count() > 0)
         {
-            ++commits_started;
-            boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, commit_time);
+            boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, time);
             co_await timer.async_wait(boost::asio::use_awaitable);
+        }
+        if (is_commit)
+        {
             ++version;
             const boost::json::value work = boost::json::parse(received.body());
             for (const boost::json::value& write : work.at("set-keys").as_array())
@@ -46,38 +52,39 @@
                 {"rows", boost::json::array{}}, {"row-version", version}, {"now-ms", 1'000}}));
     }
 
-    milliseconds commit_time{150};
+    milliseconds commit_time{0};
+    milliseconds read_time{0};
     std::int64_t version = 10;
     int commits_started = 0;
     /// Values of the owner's row, in the order in which they were written.
     std::vector<std::string> owner_rows;
 };
 
-} // namespace
-
-TEST_CASE("a release during a commit is stored before the term ends", "[manager]")
+/// A host that has just taken over.
+struct new_owner
 {
-    // Guards against a term that ends without a released row, so that its successor waits 2.1 s.
-    boost::asio::io_context io;
-    slow_store store;
-    settings values;
-    values.host = "host-a";
-    values.store = test::free_address();
-    const std::shared_ptr<http::server> server = boost::leaf::try_handle_all(
-        [&]() -> boost::leaf::result<std::shared_ptr<http::server>>
-        {
-            return http::server::listen(io.get_executor(), values.store, {},
-                                        [&](http::request received)
-                                        { return store.handle(std::move(received)); });
-        },
-        [] { return std::shared_ptr<http::server>(); });
-    REQUIRE(server != nullptr);
-    context shared(values, io);
-    shared.current = std::make_shared<configuration>();
-    const std::shared_ptr<owner_session> session =
-        std::make_shared<owner_session>(shared, 1, store.version);
-    session->start();
-    const auto run_until = [&](const auto& reached)
+    explicit new_owner(slow_store& store)
+    {
+        settings values;
+        values.host = "host-a";
+        values.store = test::free_address();
+        server = boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<std::shared_ptr<http::server>>
+            {
+                return http::server::listen(io.get_executor(), values.store, {},
+                                            [&](http::request received)
+                                            { return store.handle(std::move(received)); });
+            },
+            [] { return std::shared_ptr<http::server>(); });
+        REQUIRE(server != nullptr);
+        shared = std::make_unique<context>(values, io);
+        shared->current = std::make_shared<configuration>();
+        session = std::make_shared<owner_session>(*shared, 1, store.version);
+        session->start();
+    }
+
+    template <typename Predicate>
+    void run_until(Predicate reached)
     {
         const std::chrono::steady_clock::time_point deadline =
             std::chrono::steady_clock::now() + std::chrono::seconds(10);
@@ -86,13 +93,58 @@
             io.run_one_until(deadline);
         }
         REQUIRE(reached());
-    };
-    run_until([&] { return store.commits_started == 1; });
-    session->release("test");
-    run_until([&] { return session->ended(); });
+    }
+
+    boost::asio::io_context io;
+    std::shared_ptr<http::server> server;
+    std::unique_ptr<context> shared;
+    std::shared_ptr<owner_session> session;
+};
+
+std::optional<owner_row> last_owner_row(const slow_store& store)
+{
     REQUIRE_FALSE(store.owner_rows.empty());
-    const std::optional<owner_row> last = parse_or_log(
-        "owner_unreadable", "owner", 1, [&] { return parse_owner(store.owner_rows.back()); });
+    return parse_or_log("owner_unreadable", "owner", 1,
+                        [&] { return parse_owner(store.owner_rows.back()); });
+}
+
+} // namespace
+
+TEST_CASE("a release during a commit is stored before the term ends", "[manager]")
+{
+    // Guards against a term that ends without a released row, so that its successor waits 2.1 s.
+    slow_store store;
+    store.commit_time = milliseconds(150);
+    new_owner owner(store);
+    owner.run_until([&] { return store.commits_started == 1; });
+    owner.session->release("test");
+    owner.run_until([&] { return owner.session->ended(); });
+    const std::optional<owner_row> last = last_owner_row(store);
     REQUIRE(last);
     CHECK(last->released);
 }
+
+TEST_CASE("an owner that needs long to load is not taken for failed", "[manager]")
+{
+    // Guards against hosts that depose each other while each of them loads.
+    slow_store store;
+    store.read_time = milliseconds(350);
+    new_owner owner(store);
+    owner.run_until([&] { return owner.session->is_loaded(); });
+    REQUIRE(store.owner_rows.size() >= 2);
+    CHECK_FALSE(owner.session->ended());
+    owner.run_until([&] { return store.owner_rows.size() >= 4; });
+    CHECK_FALSE(owner.session->ended());
+    CHECK_FALSE(last_owner_row(store)->released);
+}
+
+TEST_CASE("an owner that loads can hand over", "[manager]")
+{
+    slow_store store;
+    store.read_time = milliseconds(350);
+    new_owner owner(store);
+    owner.session->release("test");
+    owner.run_until([&] { return owner.session->ended(); });
+    CHECK_FALSE(owner.session->is_loaded());
+    CHECK(last_owner_row(store)->released);
+}
