Test that a gang that crashes servers counts as one task

The regression test runs for a gang of three as well: one crash under all of its tasks must not end the job, two must.

--- a/tests/scheduler/crash_test.cpp
+++ b/tests/scheduler/crash_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <utility>
 
 using namespace lacewingquay;
 using namespace lacewingquay::test;
@@ -30,10 +31,12 @@
     steady_time now{std::chrono::hours(1)};
     std::int64_t born = 1;
 
-    crash_fixture()
+    explicit crash_fixture(int gang_size = 0)
     {
         owner.update_server(make_server("s1", "m", born), now);
-        owner.add_job(make_job("a", 1, 1, 1'000, milliseconds(500)), nullptr, {}, now);
+        job::record record = make_job("a", 1, std::max(1, gang_size), 1'000, milliseconds(500));
+        record.work.steps.front().gang = gang_size > 0;
+        owner.add_job(std::move(record), nullptr, {}, now);
         start();
     }
 
@@ -75,9 +78,9 @@
 
 } // namespace
 
-TEST_CASE("a task that crashes each server that starts it is given up", "[scheduler]")
+TEST_CASE("a task or gang that crashes each server that starts it is given up", "[scheduler]")
 {
-    crash_fixture fixture;
+    crash_fixture fixture(GENERATE(0, 3));
     fixture.fail_call(worker::call_failure::disconnected);
     fixture.replace_server();
     CHECK_FALSE(fixture.is_failed());
