Name the log event of a counted crash for what it says

The event is logged when a crash is counted, not when it is suspected; the layout of the stored history is described. No logic changes.

--- a/src/job/progress.hpp
+++ b/src/job/progress.hpp
@@ -89,7 +89,8 @@
 [[nodiscard]] std::string_view state_name(state value);
 [[nodiscard]] boost::leaf::result<state> parse_state(std::string_view text);
 
-/// Returns the text of a progress row: a line for the job, then a line for each task.
+/// Returns the text of a progress row: a line for the job, then a line for each task. A task's
+/// crash history follows the start of its server, separated by slashes, if there is any.
 [[nodiscard]] std::string serialize_progress(const progress& value);
 
 /// Parses the text of `serialize_progress`; fails with an `input_error` that quotes the line.
--- a/src/scheduler/scheduler_crashes.cpp
+++ b/src/scheduler/scheduler_crashes.cpp
@@ -190,7 +190,7 @@
         const crash_verdict verdict = confirm_crash(history, entry, settings_);
         mark_dirty(*ref.job);
         log_event(log_level::warning,
-                  verdict == crash_verdict::give_up ? "task_given_up" : "task_suspected",
+                  verdict == crash_verdict::give_up ? "task_given_up" : "task_crash_counted",
                   {{"job", entry.task.job},
                    {"step", entry.task.position.step},
                    {"index", entry.task.position.index},
