--- a/tests/manager/handover_test.cpp
+++ b/tests/manager/handover_test.cpp
@@ -246,14 +246,15 @@
 
 TEST_CASE("a weak host that replaced a strong one knows its own strength", "[manager]")
 {
-    ownership weak({}, "a", {0.1, 10.0});
+    ownership replacement({}, "a", {0.1, 10.0});
     const steady_time start{std::chrono::hours(1)};
     // The store still holds the record of the host that had this name.
-    weak.observe_host("a", {4.0, 1'000.0});
-    weak.observe_host("b", {1.0, 100.0});
-    weak.observe({"b", 3, false, milliseconds(0)}, 7, milliseconds(0), start);
-    weak.observe({"b", 3, false, milliseconds(0)}, 8, milliseconds(0), start + milliseconds(2'900));
-    CHECK_FALSE(weak.should_request_handover(start + milliseconds(3'000)));
+    replacement.observe_host("a", {4.0, 1'000.0});
+    replacement.observe_host("b", {1.0, 100.0});
+    replacement.observe({"b", 3, false, milliseconds(0)}, 7, milliseconds(0), start);
+    replacement.observe({"b", 3, false, milliseconds(0)}, 8, milliseconds(0),
+                        start + milliseconds(2'900));
+    CHECK_FALSE(replacement.should_request_handover(start + milliseconds(3'000)));
 }
 
 TEST_CASE("a strong host that cannot load the jobs does not ask again and again", "[manager]")
