Log long-running tasks that are not at work, and what they wait for

Neither the logs nor the metrics tell a task that waits for a server from one whose run is unresolved, nor which condition keeps it from the servers of its pool, so the hypotheses could not be told apart.

--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -71,11 +71,7 @@
         for (const auto& entry : owner_.servers_)
         {
             server_state& server = *entry.second;
-            if (server.registered && !server.closed && !server.info.draining &&
-                server.clock_known && server.unanswered == 0 &&
-                std::max(server.last_answer, server.last_registration) +
-                        owner_.settings_.silence_timeout >=
-                    now_)
+            if (owner_.accepts_runs(server, now_))
             {
                 pools_[server.info.pool].push_back(&server);
             }
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -66,7 +66,7 @@
     jobs_.emplace(job.record.id, std::move(owned));
     if (job.record.work.times.occurrences == 0)
     {
-        add_occurrence(job, 0, now - age);
+        add_occurrence(job, 0, now - age, now);
         job.next_occurrence = 1;
     }
     if (stored != nullptr)
@@ -85,7 +85,7 @@
     }
 }
 
-void scheduler::add_occurrence(job_state& job, int number, steady_time due)
+void scheduler::add_occurrence(job_state& job, int number, steady_time due, steady_time now)
 {
     occurrence_state occurrence;
     occurrence.number = number;
@@ -94,6 +94,10 @@
     {
         step_state state;
         state.tasks.resize(static_cast<std::size_t>(step.count));
+        for (task_state& task : state.tasks)
+        {
+            task.last_at_work = now;
+        }
         state.waiting = step.count;
         occurrence.steps.push_back(std::move(state));
     }
@@ -126,7 +130,7 @@
         while (job.next_occurrence <= saved.position.occurrence &&
                job.next_occurrence < job.record.work.times.occurrences)
         {
-            add_occurrence(job, job.next_occurrence++, now);
+            add_occurrence(job, job.next_occurrence++, now, now);
         }
         task_ref ref;
         if (!find_task({job.record.id, saved.position}, ref))
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -190,7 +190,7 @@
 
     void apply_queue(job_state& job);
     void open_steps(job_state& job, std::size_t occurrence);
-    void add_occurrence(job_state& job, int number, steady_time due);
+    void add_occurrence(job_state& job, int number, steady_time due, steady_time now);
     void restore(job_state& job, const job::progress& stored, steady_time now);
     void finish_task(const task_ref& ref);
     void finish_job(job_state& job, job::state reported_state);
@@ -236,6 +236,11 @@
     void record_run_result(server_state& server, bool failed, steady_time now);
     void check_run_progress(const task_ref& ref, int percent, steady_time now);
     void plan(steady_time now);
+    /// Logs long-running tasks that have not been at work for long, and what they wait for.
+    void log_overdue_tasks(steady_time now);
+    void log_overdue_task(const task_ref& ref, steady_time now) const;
+    /// True if new runs may be started on the server.
+    [[nodiscard]] bool accepts_runs(const server_state& server, steady_time now) const;
     void log_starts(const batch& work, steady_time now);
     /// Moves jobs with newly assigned tasks and jobs in a final state to the front of `dirty_`, as
     /// tasks or callers wait for these. The progress of other jobs is stored with later batches.
@@ -265,6 +270,7 @@
     std::map<std::string, int> unplaceable_;
     bool plan_needed_ = true;
     steady_time next_plan_{};
+    steady_time next_overdue_check_{};
     std::vector<task_ref> stops_;
     std::vector<advice_request> advice_requests_;
     std::int64_t spare_cpu_ = 0;
--- a/src/scheduler/scheduler_batch.cpp
+++ b/src/scheduler/scheduler_batch.cpp
@@ -39,6 +39,7 @@
         const bool forget = !server.registered && server.tasks.empty() && now > keep_until;
         entry = forget ? servers_.erase(entry) : std::next(entry);
     }
+    log_overdue_tasks(now);
     const std::int64_t wall_now = unix_milliseconds(wall);
     for (const auto& entry : jobs_)
     {
@@ -47,7 +48,7 @@
         while (!job::is_final(job.reported_state) && job.next_occurrence < times.occurrences &&
                times.first_due + job.next_occurrence * times.interval.count() <= wall_now)
         {
-            add_occurrence(job, job.next_occurrence, now);
+            add_occurrence(job, job.next_occurrence, now, now);
             ++job.next_occurrence;
         }
     }
--- a/src/scheduler/scheduler_reports.cpp
+++ b/src/scheduler/scheduler_reports.cpp
@@ -67,6 +67,7 @@
             continue;
         }
         listed.insert(task);
+        task->last_at_work = now;
         if (task->phase != task_phase::running)
         {
             task->phase = task_phase::running;
--- a/src/scheduler/settings.hpp
+++ b/src/scheduler/settings.hpp
@@ -61,6 +61,10 @@
     /// with less slack counts as late; otherwise, under overload, each job in turn would start just
     /// too late.
     milliseconds scheduling_delay{250};
+    /// A long-running task that has not been at work for this long is logged.
+    milliseconds overdue_after{4'000};
+    /// Interval between log lines about the same task.
+    milliseconds overdue_log_interval{2'000};
     /// A job that is late by up to this multiple of its allowed time is still of use to its caller.
     int useful_lateness_factor = 2;
     /// Slack added for each core second of remaining work, so that small jobs go first: under
--- a/src/scheduler/state.hpp
+++ b/src/scheduler/state.hpp
@@ -65,6 +65,9 @@
     int percent = 0;
     /// When the reported progress last rose.
     steady_time advanced{};
+    /// When a run of the task was last known to be at work; before that, when it was added.
+    steady_time last_at_work{};
+    steady_time overdue_logged{};
 };
 
 /// True if the latest run may exist on a server.
