--- /dev/null
+++ b/tests/manager/owner_overload_test.cpp
@@ -0,0 +1,233 @@
+#include "core/base64.hpp"
+#include "http/server.hpp"
+#include "job/record_text.hpp"
+#include "manager/owner_session.hpp"
+#include "platform/loopback.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+using namespace lacewingquay;
+using namespace lacewingquay::manager;
+
+namespace
+{
+
+constexpr std::int64_t born = 1'000;
+
+std::int64_t clock_now()
+{
+    return std::chrono::duration_cast<milliseconds>(
+               std::chrono::steady_clock::now().time_since_epoch())
+        .count();
+}
+
+boost::asio::awaitable<void> wait_until(std::chrono::steady_clock::time_point time)
+{
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, time);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+}
+
+http::response make_reply(boost::json::object body)
+{
+    return http::make_response(http::status::ok, boost::json::serialize(body));
+}
+
+/// A store with the registrations of some servers and one job.
+struct stand_in_store
+{
+    boost::asio::awaitable<http::response> handle(http::request received)
+    {
+        const std::string target(received.target());
+        const bool is_read = target.find("rows-get") != std::string::npos;
+        boost::json::array rows;
+        if (is_read && target.find("table=servers") != std::string::npos)
+        {
+            rows = servers;
+        }
+        else if (is_read && target.find("table=jobs") != std::string::npos)
+        {
+            rows = jobs;
+        }
+        else if (!is_read)
+        {
+            ++version;
+        }
+        co_return make_reply({{"rows", std::move(rows)}, {"row-version", version}, {"now-ms", 1}});
+    }
+
+    static boost::json::object make_row(std::string_view table, const std::string& key,
+                                        const std::string& value)
+    {
+        return {{"table", table},
+                {"part", ""},
+                {"key", key},
+                {"value", base64_encode(value)},
+                {"row-version", 5}};
+    }
+
+    boost::json::array servers;
+    boost::json::array jobs;
+    std::int64_t version = 10;
+};
+
+/// Backend servers behind a link that passes one call at a time. A call that its sender gives up is
+/// still executed.
+struct stand_in_servers
+{
+    boost::asio::awaitable<http::response> handle(http::request received)
+    {
+        link_free_at = std::max(link_free_at, std::chrono::steady_clock::now()) + call_time;
+        co_await wait_until(link_free_at);
+        const std::string server(received["Expect-Instance"]);
+        const std::string target(received.target());
+        const boost::json::object body = boost::json::parse(received.body()).as_object();
+        boost::json::object reply{{"clock-ms", clock_now()}, {"born", born}};
+        if (target == "/lacewingquay/hold")
+        {
+            const boost::json::value* wait = body.if_contains("wait-ms");
+            co_await wait_until(std::chrono::steady_clock::now() +
+                                milliseconds(wait == nullptr ? 0 : wait->as_int64()));
+            boost::json::array list;
+            for (const auto& entry : running[server])
+            {
+                list.push_back(boost::json::array{entry.first, entry.second, "", 100, 0});
+            }
+            reply["running"] = std::move(list);
+            reply["ended"] = boost::json::array{};
+            co_return make_reply(std::move(reply));
+        }
+        const std::string task(body.at("task").as_string());
+        const std::int64_t run = body.at("run").as_int64();
+        std::int64_t& closed = closed_runs[server][task];
+        if (target == "/lacewingquay/run-stop")
+        {
+            closed = std::max(closed, run);
+            running[server].erase(task);
+        }
+        else if (run > closed)
+        {
+            ++starts;
+            running[server][task] = run;
+        }
+        co_return make_reply(std::move(reply));
+    }
+
+    [[nodiscard]] std::size_t running_tasks() const
+    {
+        std::size_t count = 0;
+        for (const auto& entry : running)
+        {
+            count += entry.second.size();
+        }
+        return count;
+    }
+
+    milliseconds call_time{0};
+    std::chrono::steady_clock::time_point link_free_at{};
+    std::map<std::string, std::map<std::string, std::int64_t>> running;
+    std::map<std::string, std::map<std::string, std::int64_t>> closed_runs;
+    std::size_t starts = 0;
+};
+
+template <typename Handler>
+std::shared_ptr<http::server> serve(boost::asio::io_context& io, const address& where,
+                                    Handler& handler)
+{
+    std::shared_ptr<http::server> server = boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::shared_ptr<http::server>>
+        {
+            return http::server::listen(io.get_executor(), where, {},
+                                        [&handler](http::request received)
+                                        { return handler.handle(std::move(received)); });
+        },
+        [] { return std::shared_ptr<http::server>(); });
+    REQUIRE(server != nullptr);
+    return server;
+}
+
+/// A host with a slow link that has taken over a pool in which all tasks have to be started.
+struct overloaded_owner
+{
+    explicit overloaded_owner(int server_count, int tasks)
+    {
+        settings values;
+        values.host = "host-a";
+        values.resources = {0.12, 10.0};
+        values.store = test::free_address();
+        const address backend = test::free_address();
+        for (int index = 0; index < server_count; ++index)
+        {
+            const boost::json::object registration{
+                {"machine", "m" + std::to_string(index)},
+                {"service", "pool"},
+                {"zone", "zone"},
+                {"state", "ready"},
+                {"address", backend.text()},
+                {"born", born},
+                {"clock-ms", clock_now()},
+                {"capacity", boost::json::object{{"cpu", 8'000}, {"mem-mb", 16'000}}}};
+            store.servers.push_back(stand_in_store::make_row("servers", "s" + std::to_string(index),
+                                                             boost::json::serialize(registration)));
+        }
+        job::queue queue;
+        queue.name = "host/queue/";
+        queue.host = "host";
+        queue.prefix = "/queue/";
+        queue.pool = "pool";
+        const std::string body =
+            R"({"spec":"payload","steps":[{"count":)" + std::to_string(tasks) +
+            R"(,"cpu":2000,"mem-mb":100,"est-duration-ms":1000,"long-running":true}]})";
+        store.jobs.push_back(stand_in_store::make_row(
+            "jobs", "j/job", job::serialize_record({queue, milliseconds(1)}, body)));
+        store_server = serve(io, values.store, store);
+        backend_server = serve(io, backend, servers);
+        shared = std::make_unique<context>(values, io);
+        shared->current = std::make_shared<configuration>();
+        session = std::make_shared<owner_session>(*shared, 1, store.version);
+    }
+
+    ~overloaded_owner() { session->release("the test is over"); }
+
+    /// Returns after which time `tasks` tasks were running, or `limit`.
+    milliseconds time_to_run(std::size_t tasks, milliseconds limit)
+    {
+        const std::chrono::steady_clock::time_point started = std::chrono::steady_clock::now();
+        session->start();
+        while (servers.running_tasks() < tasks &&
+               std::chrono::steady_clock::now() < started + limit)
+        {
+            io.run_one_until(started + limit);
+        }
+        return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - started);
+    }
+
+    stand_in_store store;
+    stand_in_servers servers;
+    boost::asio::io_context io;
+    std::shared_ptr<http::server> store_server;
+    std::shared_ptr<http::server> backend_server;
+    std::unique_ptr<context> shared;
+    std::shared_ptr<owner_session> session;
+};
+
+} // namespace
+
+TEST_CASE("an owner with more starts than its link carries at once does not lose them to timeouts",
+          "[manager][!shouldfail]")
+{
+    constexpr milliseconds limit{6'000};
+    constexpr std::size_t tasks = 300;
+    overloaded_owner owner(150, tasks);
+    owner.servers.call_time = milliseconds(3);
+    CHECK(owner.time_to_run(tasks, limit) < limit);
+    CHECK(owner.servers.starts == tasks);
+}
