Let the bound of start orders grow with each quick answer

On a strong host the bound of grew by one order for eight quick answers, too slowly for the begin of a queue's turn.

--- a/src/manager/send_window.hpp
+++ b/src/manager/send_window.hpp
@@ -26,7 +26,7 @@
     /// that were under way have been answered.
     milliseconds reduction_interval{200};
     /// Quick answers after which one more order may be under way.
-    std::size_t answers_to_grow = 8;
+    std::size_t answers_to_grow = 1;
     /// Bounds of the time after which an order is given up.
     milliseconds least_timeout{400};
     milliseconds most_timeout{1'500};
