Derive which servers are closed from the plans for their machines

Callers: a server could stay closed for the rest of its incarnation, so that tasks found no room although it was idle. An owner that took over later did not inherit the mark and used the server at once. Cause: the marks were set with an order or a drain and cleared with its end, by a lookup that knows registered servers only. If the registration had lapsed by then (cut zone, outage of the store), or if the platform's list did not show the machine, nothing cleared them any more, even after the server had registered again. Change: the controller derives the marks of all servers in each round from its orders and drains (fleet::marks_of). An order marks only the incarnation that it ends. Evidence: before, both new tests of the controller failed ("registration lapses during a refused order": still closed and ending after 2.5 s; "missing from the list during an order": after 5 s). Now they pass, five of five times; [fleet] and [manager] pass with 200 properties. Whether this is what delayed the tasks of the issue is not proved.

--- a/src/manager/fleet_controller.cpp
+++ b/src/manager/fleet_controller.cpp
@@ -83,6 +83,7 @@
             continue;
         }
         detect_arrivals();
+        mark_servers();
         if (!orders_loaded_ && !co_await load_orders())
         {
             continue;
@@ -167,6 +168,31 @@
     return found != reserved_until_.end() && shared_.now() < found->second;
 }
 
+void fleet_controller::mark(scheduler::server_state& server) const
+{
+    fleet::machine_plans plans;
+    const auto found = machines_.find(server.info.machine);
+    if (found != machines_.end())
+    {
+        const machine_entry& machine = found->second;
+        plans.ordered = machine.ordered;
+        plans.former_server = machine.former_server;
+        plans.former_born = machine.former_born;
+        plans.draining = !machine.drain_target_pool.empty() || machine.draining_for_wave != 0;
+    }
+    const fleet::server_marks marks = fleet::marks_of(plans, server.info.id, server.info.born);
+    server.closed = marks.closed;
+    server.ending = marks.ending;
+}
+
+void fleet_controller::mark_servers() const
+{
+    for (const auto& entry : owner_->job_scheduler().servers())
+    {
+        mark(*entry.second);
+    }
+}
+
 void fleet_controller::detect_arrivals()
 {
     server_by_machine_.clear();
@@ -284,9 +310,9 @@
     scheduler::server_state* server = server_of(name);
     if (server != nullptr)
     {
-        server->closed = true;
         machines_[name].drain_target_pool = pool;
         machines_[name].drain_started = now;
+        mark(*server);
     }
 }
 
@@ -366,7 +392,6 @@
                     // as their disruption budgets allow. Until a machine is drained, other tasks
                     // use it.
                     server->maintenance_due = true;
-                    server->closed = server->closed || view.draining;
                     // Before the check below, so that no order overtakes a stop of this round.
                     owner_->job_scheduler().evacuate(*server);
                 }
@@ -404,7 +429,7 @@
             scheduler::server_state* server = server_of(name);
             if (server != nullptr)
             {
-                server->closed = true;
+                mark(*server);
             }
         }
         for (const std::string& name : step.maintain)
--- a/src/manager/fleet_controller.hpp
+++ b/src/manager/fleet_controller.hpp
@@ -3,6 +3,7 @@
 #include "fleet/model.hpp"
 #include "fleet/order_effect.hpp"
 #include "fleet/planner.hpp"
+#include "fleet/server_marks.hpp"
 #include "fleet/wave_plan.hpp"
 #include "manager/context.hpp"
 #include "manager/owner_session.hpp"
@@ -96,6 +97,9 @@
     boost::asio::awaitable<fleet::order_effect> check_former_server(std::string id,
                                                                     std::int64_t born);
     void detect_arrivals();
+    /// Updates what the scheduler knows about the plans for the server's machine.
+    void mark(scheduler::server_state& server) const;
+    void mark_servers() const;
     void cancel_order(const std::string& machine);
     void drain(const std::string& machine, const std::string& pool, steady_time now);
     [[nodiscard]] bool is_standby(const std::string& pool) const;
--- a/src/manager/fleet_controller_orders.cpp
+++ b/src/manager/fleet_controller_orders.cpp
@@ -143,8 +143,7 @@
     scheduler::server_state* server = server_of(name);
     if (server != nullptr)
     {
-        server->ending = false;
-        server->closed = machine.draining_for_wave != 0;
+        mark(*server);
     }
 }
 
@@ -164,10 +163,9 @@
     scheduler::server_state* server = server_of(name);
     if (server != nullptr)
     {
-        server->closed = true;
-        server->ending = true;
         machine.former_server = server->info.id;
         machine.former_born = server->info.born;
+        mark(*server);
     }
     planned_orders_.push_back(name);
 }
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -1,5 +1,6 @@
 #include "fleet/order_effect.hpp"
 #include "fleet/planner.hpp"
+#include "fleet/server_marks.hpp"
 #include "fleet/wave_plan.hpp"
 
 #include <catch2/catch.hpp>
@@ -302,3 +303,16 @@
     CHECK(effect_of_order(born, std::nullopt, true) == order_effect::ended);
     CHECK(effect_of_order(born, std::nullopt, false) == order_effect::unknown);
 }
+
+TEST_CASE("an order marks only the server incarnation that it ends", "[fleet]")
+{
+    // Guards against a server that is closed for an order to its predecessor.
+    machine_plans plans{true, "s", 1, false};
+    CHECK(marks_of(plans, "s", 1) == server_marks{true, true});
+    CHECK(marks_of(plans, "s", 2) == server_marks{});
+    CHECK(marks_of(plans, "t", 1) == server_marks{});
+    plans.ordered = false;
+    CHECK(marks_of(plans, "s", 1) == server_marks{});
+    plans.draining = true;
+    CHECK(marks_of(plans, "t", 1) == server_marks{true, false});
+}
--- /dev/null
+++ b/tests/manager/fleet_controller_test.cpp
@@ -0,0 +1,197 @@
+#include "http/server.hpp"
+#include "manager/fleet_controller.hpp"
+#include "platform/loopback.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace lacewingquay;
+using namespace lacewingquay::manager;
+
+namespace
+{
+
+/// A store without rows, in which every transaction succeeds.
+struct empty_store
+{
+    boost::asio::awaitable<http::response> handle(http::request received)
+    {
+        const std::string target(received.target());
+        version += target.find("rows-tx") != std::string::npos ? 1 : 0;
+        server_reads += target.find(servers_table) != std::string::npos ? 1 : 0;
+        co_return http::make_response(
+            http::status::ok,
+            boost::json::serialize(boost::json::object{
+                {"rows", boost::json::array{}}, {"row-version", version}, {"now-ms", 1'000}}));
+    }
+
+    std::int64_t version = 10;
+    int server_reads = 0;
+};
+
+/// The platform's machine service.
+struct machine_service
+{
+    boost::asio::awaitable<http::response> handle(http::request received)
+    {
+        if (received.method() == http::method::get)
+        {
+            boost::json::array machines;
+            for (const std::string& name : names)
+            {
+                machines.push_back(boost::json::object{
+                    {"machine", name},
+                    {"pool", "pool"},
+                    {"state", "up"},
+                    {"zone", "a"},
+                    {"capacity", boost::json::object{{"cpu", 8'000}, {"mem-mb", 16'000}}}});
+            }
+            co_return http::make_response(
+                http::status::ok,
+                boost::json::serialize(boost::json::object{{"machines", std::move(machines)}}));
+        }
+        ++orders;
+        on_order();
+        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, order_time);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+        co_return http::make_response(order_status, order_answer);
+    }
+
+    std::vector<std::string> names{"m"};
+    std::function<void()> on_order = [] {
+    };
+    milliseconds order_time{0};
+    http::status order_status = http::status::ok;
+    std::string order_answer = "{}";
+    int orders = 0;
+};
+
+/// An owner with one backend server, which is idle, and its fleet controller.
+struct fleet_fixture
+{
+    fleet_fixture()
+    {
+        settings values;
+        values.host = "host-a";
+        values.store = test::free_address();
+        store_server = listen(values.store, [this](http::request received)
+                              { return store.handle(std::move(received)); });
+        values.machines = test::free_address();
+        machine_server = listen(values.machines, [this](http::request received)
+                                { return machines.handle(std::move(received)); });
+        shared = std::make_unique<context>(values, io);
+        configuration current;
+        current.pools.push_back({"pool", false});
+        shared->current = std::make_shared<configuration>(current);
+        session = std::make_shared<owner_session>(*shared, 1, store.version);
+        session->start();
+        // Later reads of the registrations are of changes only.
+        run_until([&] { return session->is_loaded() && store.server_reads >= 3; });
+        info.id = "s";
+        info.machine = "m";
+        info.pool = "pool";
+        info.born = 1;
+        info.capacity = {8'000, 16'000, 0};
+        register_server();
+        // It had runs until a moment ago, so it is remembered while its registration is missing.
+        server().lease_end = shared->now() + std::chrono::seconds(30);
+        controller = std::make_shared<fleet_controller>(*shared, session);
+        controller->start();
+    }
+
+    ~fleet_fixture()
+    {
+        session->release("test");
+        run_until([&] { return session->ended(); });
+        run_for(milliseconds(300));
+    }
+
+    template <typename Handler>
+    std::shared_ptr<http::server> listen(const address& where, Handler handler)
+    {
+        return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<std::shared_ptr<http::server>>
+            { return http::server::listen(io.get_executor(), where, {}, handler); },
+            [] { return std::shared_ptr<http::server>(); });
+    }
+
+    void register_server() { session->job_scheduler().update_server(info, shared->now()); }
+
+    scheduler::server_state& server() { return *session->job_scheduler().find_server("s"); }
+
+    void maintain() { controller->add_wave({1, {"m"}, std::chrono::seconds(60), 1}); }
+
+    template <typename Predicate>
+    bool run_until(Predicate reached, milliseconds limit = milliseconds(5'000))
+    {
+        const std::chrono::steady_clock::time_point deadline =
+            std::chrono::steady_clock::now() + limit;
+        while (!reached() && std::chrono::steady_clock::now() < deadline)
+        {
+            io.run_one_until(deadline);
+        }
+        return reached();
+    }
+
+    void run_for(milliseconds time)
+    {
+        run_until([] { return false; }, time);
+    }
+
+    boost::asio::io_context io;
+    empty_store store;
+    machine_service machines;
+    std::shared_ptr<http::server> store_server;
+    std::shared_ptr<http::server> machine_server;
+    std::unique_ptr<context> shared;
+    std::shared_ptr<owner_session> session;
+    std::shared_ptr<fleet_controller> controller;
+    worker::server info;
+};
+
+} // namespace
+
+TEST_CASE("a server whose registration lapses during a refused order is usable afterwards",
+          "[manager]")
+{
+    // Guards against a server that stays closed until another host takes over.
+    fleet_fixture fleet;
+    fleet.machines.order_time = milliseconds(400);
+    fleet.machines.order_status = http::status::conflict;
+    fleet.machines.order_answer = R"({"reason":"wave"})";
+    fleet.machines.on_order = [&]
+    {
+        CHECK(fleet.server().closed);
+        CHECK(fleet.server().ending);
+        fleet.session->job_scheduler().remove_server("s", fleet.shared->now());
+    };
+    fleet.maintain();
+    REQUIRE(fleet.run_until([&] { return fleet.machines.orders == 1; }));
+    fleet.run_for(milliseconds(800));
+    fleet.register_server();
+    CHECK(fleet.run_until([&] { return !fleet.server().closed && !fleet.server().ending; },
+                          milliseconds(2'500)));
+    CHECK(fleet.machines.orders == 1);
+}
+
+TEST_CASE("a server whose machine is missing from the list during an order is usable afterwards",
+          "[manager]")
+{
+    // Guards against a server that stays closed although its order is no longer known.
+    fleet_fixture fleet;
+    fleet.machines.order_time = milliseconds(3'000);
+    fleet.machines.on_order = [&]
+    {
+        fleet.machines.names.clear();
+    };
+    fleet.maintain();
+    REQUIRE(fleet.run_until([&] { return fleet.server().ending; }));
+    CHECK(fleet.run_until([&] { return !fleet.server().closed && !fleet.server().ending; }));
+}
