Do not take a confirmed maintenance for the end of an idle server

Callers: a live server was not used for 9 s and until its next registration after that. A later owner used it at once. Cause: a new owner repeats a maintenance whose completion its predecessor could not store, and the platform confirms it without doing anything. If the server then did not answer the check within 0.4 s (cut zone) and had no runs, its incarnation was taken for ended, and its registrations were ignored until that was forgotten. Change: only the server's answer, a list that shows the machine as in maintenance or its next server end the incarnation. Without these the server counts as unregistered, until it registers again. A confirmed move still ends an idle server: its machine is in another pool. Evidence: the new test failed before (not registered after another registration) and passes; [fleet] and [manager] pass.

--- a/src/manager/fleet_controller_orders.cpp
+++ b/src/manager/fleet_controller_orders.cpp
@@ -207,8 +207,8 @@
         return server != nullptr && !server->tasks.empty();
     };
     fleet::order_effect effect = fleet::order_effect::unknown;
-    // An idle machine that moves is not worth a call: if it has not moved, its registration shows
-    // so.
+    // An idle machine that moves is not worth a call: it is in another pool now, so the server in
+    // its former pool has ended.
     if (kind == order_kind::maintain || has_runs())
     {
         effect = co_await check_former_server(id, born);
@@ -227,13 +227,14 @@
             cancel_order(machine);
         }
     }
-    else if (effect == fleet::order_effect::ended || !has_runs())
+    else if (effect == fleet::order_effect::ended || (kind == order_kind::move && !has_runs()))
     {
         jobs.end_incarnation(id, born, shared_.now());
     }
     else
     {
-        // The runs may go on until their lease has expired.
+        // The server may live, as after a maintenance that was done before, and its runs may go on
+        // until their lease has expired. If it lives, it registers again.
         jobs.remove_server(id, shared_.now());
     }
 }
--- a/tests/manager/fleet_controller_test.cpp
+++ b/tests/manager/fleet_controller_test.cpp
@@ -195,3 +195,17 @@
     REQUIRE(fleet.run_until([&] { return fleet.server().ending; }));
     CHECK(fleet.run_until([&] { return !fleet.server().closed && !fleet.server().ending; }));
 }
+
+TEST_CASE("a maintenance that was done before does not end a server that cannot be reached",
+          "[manager]")
+{
+    // Guards against ignoring the registrations of a live server for 9 s.
+    fleet_fixture fleet;
+    fleet.info.endpoint = test::free_address();
+    fleet.register_server();
+    fleet.maintain();
+    REQUIRE(fleet.run_until([&] { return fleet.machines.orders == 1; }));
+    fleet.run_for(milliseconds(800));
+    fleet.register_server();
+    CHECK(fleet.server().registered);
+}
