Let long-running tasks return to machines whose maintenance is over

Callers: none complained; long-running tasks avoided servers that had restarted under their id after a wave, and servers of machines that the platform had refused for a wave. Cause: maintenance_due was set in each round of a wave and never cleared. It is a penalty in the choice of a server, not a bar. Change: each round derives it from the waves that are under way. Evidence: the new test failed before (still due 1 s after the maintained machine's server had registered) and passes; [fleet] and [manager] pass.

--- a/src/manager/fleet_controller.cpp
+++ b/src/manager/fleet_controller.cpp
@@ -350,6 +350,10 @@
 
 void fleet_controller::plan_waves(steady_time now)
 {
+    for (const auto& entry : owner_->job_scheduler().servers())
+    {
+        entry.second->maintenance_due = false;
+    }
     for (auto& entry : waves_)
     {
         wave_entry& wave = entry.second;
--- a/tests/manager/fleet_controller_test.cpp
+++ b/tests/manager/fleet_controller_test.cpp
@@ -209,3 +209,17 @@
     fleet.register_server();
     CHECK(fleet.server().registered);
 }
+
+TEST_CASE("a server is due for maintenance only until its machine has been maintained", "[manager]")
+{
+    // Guards against long-running tasks that avoid the machines of a former wave.
+    fleet_fixture fleet;
+    fleet.machines.order_time = milliseconds(300);
+    fleet.maintain();
+    REQUIRE(fleet.run_until([&] { return fleet.server().maintenance_due; }));
+    REQUIRE(fleet.run_until([&] { return fleet.machines.orders == 1; }));
+    fleet.run_for(milliseconds(800));
+    fleet.info.born = 2;
+    fleet.register_server();
+    CHECK(fleet.run_until([&] { return !fleet.server().maintenance_due; }, milliseconds(1'000)));
+}
