--- a/src/manager/fleet_controller.cpp
+++ b/src/manager/fleet_controller.cpp
@@ -21,10 +21,6 @@
 /// Interval between reads of the platform's machine list.
 constexpr milliseconds list_interval{1'500};
 constexpr milliseconds list_timeout{900};
-/// Time after which an order counts as over if the list shows its machine as up.
-constexpr milliseconds arrival_limit{6'000};
-/// A list requested at least this long after a confirmed order reflects its effect.
-constexpr milliseconds list_lag{600};
 /// A machine that does not become idle within this time is no longer drained for a move.
 constexpr milliseconds drain_limit{6'000};
 
@@ -118,13 +114,13 @@
         machine_entry& entry = machines_[machine.name];
         entry.in_latest_list = true;
         entry.listed = std::move(machine);
-        if (entry.ordered && entry.confirmed && entry.listed.state != fleet::machine_state::up)
+        const fleet::order_progress progress = progress_of(entry, requested_at);
+        if (entry.ordered && fleet::has_ended_server(progress))
         {
-            // The order is under way, so the former server has ended.
             owner_->job_scheduler().end_incarnation(entry.former_server, entry.former_born,
                                                     shared_.now());
         }
-        if (is_order_over(entry, requested_at))
+        if (entry.ordered && fleet::is_order_over(progress))
         {
             cancel_order(entry.listed.name);
         }
@@ -141,18 +137,13 @@
                        { return candidate.standby && candidate.name == name; });
 }
 
-bool fleet_controller::is_order_over(const machine_entry& machine, steady_time requested_at) const
+fleet::order_progress fleet_controller::progress_of(const machine_entry& machine,
+                                                    steady_time requested_at) const
 {
-    if (!machine.ordered || machine.listed.state != fleet::machine_state::up)
-    {
-        return false;
-    }
-    // A powered-off machine registers no server, so only the list shows that it has arrived.
-    const bool arrived_off =
-        machine.confirmed && is_standby(machine.listed.pool) &&
-        (machine.kind == order_kind::maintain || machine.listed.pool == machine.target_pool) &&
-        requested_at - machine.ordered_at >= list_lag;
-    return arrived_off || requested_at - machine.ordered_at >= arrival_limit;
+    const bool is_target =
+        machine.kind == order_kind::maintain || machine.listed.pool == machine.target_pool;
+    return {machine.listed.state, machine.confirmed, is_target && is_standby(machine.listed.pool),
+            std::chrono::duration_cast<milliseconds>(requested_at - machine.ordered_at)};
 }
 
 scheduler::server_state* fleet_controller::server_of(const std::string& machine)
--- a/src/manager/fleet_controller.hpp
+++ b/src/manager/fleet_controller.hpp
@@ -2,6 +2,7 @@
 
 #include "fleet/model.hpp"
 #include "fleet/order_effect.hpp"
+#include "fleet/order_progress.hpp"
 #include "fleet/planner.hpp"
 #include "fleet/server_marks.hpp"
 #include "fleet/wave_plan.hpp"
@@ -103,7 +104,8 @@
     void cancel_order(const std::string& machine);
     void drain(const std::string& machine, const std::string& pool, steady_time now);
     [[nodiscard]] bool is_standby(const std::string& pool) const;
-    [[nodiscard]] bool is_order_over(const machine_entry& machine, steady_time requested_at) const;
+    [[nodiscard]] fleet::order_progress progress_of(const machine_entry& machine,
+                                                    steady_time requested_at) const;
     [[nodiscard]] bool is_reserved(const std::string& machine) const;
     void plan_moves(steady_time now);
     void plan_waves(steady_time now);
--- /dev/null
+++ b/tests/fleet/order_progress_test.cpp
@@ -0,0 +1,20 @@
+#include "fleet/order_progress.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace lacewingquay::fleet;
+using std::chrono::milliseconds;
+
+TEST_CASE("an order is in flight while the list shows it as under way", "[fleet]")
+{
+    CHECK_FALSE(is_order_over({machine_state::moving, true, false, milliseconds(60'000)}));
+    CHECK_FALSE(is_order_over({machine_state::maintenance, true, false, milliseconds(60'000)}));
+}
+
+TEST_CASE("an order without effect is over after a while", "[fleet]")
+{
+    CHECK_FALSE(is_order_over({machine_state::up, false, false, milliseconds(5'900)}));
+    CHECK(is_order_over({machine_state::up, false, false, milliseconds(6'000)}));
+    CHECK(is_order_over({machine_state::up, true, true, milliseconds(600)}));
+    CHECK_FALSE(is_order_over({machine_state::up, false, true, milliseconds(600)}));
+}
