End an order whose machine went down

Callers: a pool with a task that none of its machines can take gets no other machine while one is arriving (planner::plan_pools); its tasks would wait until another host takes over. Cause: an order was over only once the list showed its machine as up. A machine that goes down meanwhile kept it in flight, and counted as arriving capacity, as long as it stayed down. A later owner does not know the order. Change: after 6 s the order is over unless the list shows the machine as moving or in maintenance. A machine that is down gets no orders. Evidence: the new test failed before (not over at 6 s, confirmed or not) and passes; [fleet] and [manager] pass.

--- a/src/fleet/order_progress.hpp
+++ b/src/fleet/order_progress.hpp
@@ -33,13 +33,13 @@
 [[nodiscard]] constexpr bool is_order_over(const order_progress& order,
                                            const order_settings& values = {})
 {
-    if (order.listed != machine_state::up)
+    if (order.listed == machine_state::moving || order.listed == machine_state::maintenance)
     {
         return false;
     }
     // A powered-off machine registers no server, so only the list shows that it has arrived.
-    const bool has_arrived =
-        order.confirmed && order.is_off_at_target && order.age >= values.list_lag;
+    const bool has_arrived = order.listed == machine_state::up && order.confirmed &&
+                             order.is_off_at_target && order.age >= values.list_lag;
     return has_arrived || order.age >= values.arrival_limit;
 }
 
--- a/tests/fleet/order_progress_test.cpp
+++ b/tests/fleet/order_progress_test.cpp
@@ -5,6 +5,14 @@
 using namespace lacewingquay::fleet;
 using std::chrono::milliseconds;
 
+TEST_CASE("an order to a machine that went down does not stay in flight", "[fleet]")
+{
+    // Guards against a pool that gets no other machine while this one counts as arriving.
+    CHECK_FALSE(is_order_over({machine_state::down, true, false, milliseconds(5'900)}));
+    CHECK(is_order_over({machine_state::down, true, false, milliseconds(6'000)}));
+    CHECK(is_order_over({machine_state::down, false, false, milliseconds(6'000)}));
+}
+
 TEST_CASE("an order is in flight while the list shows it as under way", "[fleet]")
 {
     CHECK_FALSE(is_order_over({machine_state::moving, true, false, milliseconds(60'000)}));
