Do not take a list from before an order for the end of a server

Callers: none seen; a live server's registrations would be ignored for 9 s. Cause: a list that shows the machine of a confirmed order as moving or in maintenance ended the machine's server. The list lags: soon after a repeated maintenance, which the platform confirms without doing anything, it may still show the earlier one. Change: such a list counts only if it was requested 0.6 s after the order, as for the arrival of machines that are off. Evidence: the new test failed before (ended by a list of 0.5 s) and passes; [fleet] and [manager] pass.

--- a/src/fleet/order_progress.hpp
+++ b/src/fleet/order_progress.hpp
@@ -47,8 +47,7 @@
 [[nodiscard]] constexpr bool has_ended_server(const order_progress& order,
                                               const order_settings& values = {})
 {
-    static_cast<void>(values);
-    return order.confirmed && order.listed != machine_state::up;
+    return order.confirmed && order.listed != machine_state::up && order.age >= values.list_lag;
 }
 
 } // namespace lacewingquay::fleet
--- a/tests/fleet/order_progress_test.cpp
+++ b/tests/fleet/order_progress_test.cpp
@@ -26,3 +26,12 @@
     CHECK(is_order_over({machine_state::up, true, true, milliseconds(600)}));
     CHECK_FALSE(is_order_over({machine_state::up, false, true, milliseconds(600)}));
 }
+
+TEST_CASE("a list from before an order does not end the server on its machine", "[fleet]")
+{
+    // Guards against a maintenance that was done before, with a list that still shows it.
+    CHECK_FALSE(has_ended_server({machine_state::maintenance, true, false, milliseconds(500)}));
+    CHECK(has_ended_server({machine_state::maintenance, true, false, milliseconds(600)}));
+    CHECK_FALSE(has_ended_server({machine_state::maintenance, false, false, milliseconds(600)}));
+    CHECK_FALSE(has_ended_server({machine_state::up, true, false, milliseconds(600)}));
+}
