Do not wait for a wave's status before ordering machines

Callers: while a part of the store was away, a new wave, or a takeover during one, stopped all orders to machines: none moved to pools that lacked capacity, and orders that were over stayed in flight. Cause: the control loop waited until the wave's status row was stored, without a limit. Change: the status is stored beside the loop, as that of a completed wave is already. Evidence: the new test (the store refuses the status table) failed before, without an order in 3 s, and passes; [fleet] and [manager] pass.

--- a/src/manager/fleet_controller_orders.cpp
+++ b/src/manager/fleet_controller_orders.cpp
@@ -334,7 +334,11 @@
                 wave.started_at = shared_.now() - (shared_.store_time() - known->started_at);
             }
         }
-        co_await store_wave(entry.first);
+        // Not awaited: it is repeated for as long as the store refuses it.
+        boost::asio::co_spawn(
+            shared_.io,
+            [self = shared_from_this(), number = entry.first] { return self->store_wave(number); },
+            boost::asio::detached);
     }
 }
 
--- a/tests/manager/fleet_controller_test.cpp
+++ b/tests/manager/fleet_controller_test.cpp
@@ -24,6 +24,10 @@
     boost::asio::awaitable<http::response> handle(http::request received)
     {
         const std::string target(received.target());
+        if (status_fails && received.body().find("\"status\"") != std::string::npos)
+        {
+            co_return http::make_response(http::status::service_unavailable, "{}");
+        }
         version += target.find("rows-tx") != std::string::npos ? 1 : 0;
         server_reads += target.find(servers_table) != std::string::npos ? 1 : 0;
         co_return http::make_response(
@@ -32,6 +36,8 @@
                 {"rows", boost::json::array{}}, {"row-version", version}, {"now-ms", 1'000}}));
     }
 
+    /// Writes to the status table are refused.
+    bool status_fails = false;
     std::int64_t version = 10;
     int server_reads = 0;
 };
@@ -223,3 +229,12 @@
     fleet.register_server();
     CHECK(fleet.run_until([&] { return !fleet.server().maintenance_due; }, milliseconds(1'000)));
 }
+
+TEST_CASE("machines are ordered although a wave's status cannot be stored", "[manager]")
+{
+    // Guards against a fleet that stands still while a part of the store is away.
+    fleet_fixture fleet;
+    fleet.store.status_fails = true;
+    fleet.maintain();
+    CHECK(fleet.run_until([&] { return fleet.machines.orders == 1; }, milliseconds(3'000)));
+}
