Keep disruption budgets of tasks whose server's registration has lapsed

Callers: a wave may end more tasks of a step than its budget allows. When registrations lapse in an outage of the store, their servers and runs go on, and for up to 2 s after it every such machine of the wave was ordered into maintenance at once, up to the wave's limit. Change: the server that the platform lists for the machine counts while it may have runs. Its tasks are already counted as away, so the machine is maintained if the budgets allow that, or once their lease has ended. Evidence: the new test failed before (an order within 1.5 s) and passes; [fleet] and [manager] pass.

--- a/src/manager/fleet_controller.cpp
+++ b/src/manager/fleet_controller.cpp
@@ -146,11 +146,19 @@
             std::chrono::duration_cast<milliseconds>(requested_at - machine.ordered_at)};
 }
 
-scheduler::server_state* fleet_controller::server_of(const std::string& machine)
+scheduler::server_state* fleet_controller::server_of(const std::string& name)
 {
-    const auto found = server_by_machine_.find(machine);
-    return found == server_by_machine_.end() ? nullptr
-                                             : owner_->job_scheduler().find_server(found->second);
+    scheduler::scheduler& jobs = owner_->job_scheduler();
+    const auto found = server_by_machine_.find(name);
+    if (found != server_by_machine_.end())
+    {
+        return jobs.find_server(found->second);
+    }
+    // Its registration may have lapsed while its runs go on.
+    const auto machine = machines_.find(name);
+    scheduler::server_state* server =
+        machine == machines_.end() ? nullptr : jobs.find_server(machine->second.listed.server);
+    return server == nullptr || server->tasks.empty() ? nullptr : server;
 }
 
 bool fleet_controller::is_reserved(const std::string& machine) const
@@ -231,9 +239,9 @@
         view.available = !machine.ordered && machine.draining_for_wave == 0 &&
                          machine.listed.state == fleet::machine_state::up &&
                          !is_reserved(entry.first);
-        if (server != nullptr)
+        if (server != nullptr && server->registered)
         {
-            view.idle = server->tasks.empty() && !server->info.draining && server->registered;
+            view.idle = server->tasks.empty() && !server->info.draining;
             view.idle_for = std::chrono::duration_cast<milliseconds>(now - server->idle_since);
             view.tasks = static_cast<int>(server->tasks.size());
             view.long_running_tasks = server->long_running_tasks;
--- a/src/manager/fleet_controller.hpp
+++ b/src/manager/fleet_controller.hpp
@@ -111,6 +111,8 @@
     void plan_waves(steady_time now);
     void prepare_order(order_kind kind, const std::string& machine, const std::string& pool,
                        std::int64_t wave);
+    /// Returns the server on the machine, or null. One whose registration has lapsed counts while
+    /// it may have runs.
     [[nodiscard]] scheduler::server_state* server_of(const std::string& machine);
     [[nodiscard]] std::vector<fleet::machine_view> machine_views(steady_time now);
     [[nodiscard]] std::vector<fleet::pool_view> pool_views();
--- a/tests/manager/fleet_controller_test.cpp
+++ b/tests/manager/fleet_controller_test.cpp
@@ -57,6 +57,7 @@
                     {"pool", "pool"},
                     {"state", "up"},
                     {"zone", "a"},
+                    {"id", "s"},
                     {"capacity", boost::json::object{{"cpu", 8'000}, {"mem-mb", 16'000}}}});
             }
             co_return http::make_response(
@@ -238,3 +239,33 @@
     fleet.maintain();
     CHECK(fleet.run_until([&] { return fleet.machines.orders == 1; }, milliseconds(3'000)));
 }
+
+TEST_CASE("a machine with tasks is not maintained because its server's registration lapsed",
+          "[manager]")
+{
+    // Guards against ending more tasks than the disruption budget allows after a store outage.
+    fleet_fixture fleet;
+    scheduler::scheduler& jobs = fleet.session->job_scheduler();
+    job::record record;
+    record.id = "job";
+    record.queue.pool = "pool";
+    job::step step;
+    step.count = 1;
+    step.request = {1'000, 100, 0};
+    step.long_running = true;
+    record.work.steps.push_back(step);
+    job::progress stored;
+    job::task_progress run;
+    run.run = 1;
+    run.server = "s";
+    run.server_born = 1;
+    stored.tasks.push_back(run);
+    jobs.add_job(record, &stored, milliseconds(0), fleet.shared->now());
+    REQUIRE(fleet.server().tasks.size() == 1);
+    jobs.remove_server("s", fleet.shared->now());
+    fleet.maintain();
+    fleet.run_for(milliseconds(1'500));
+    CHECK(fleet.machines.orders == 0);
+    fleet.server().lease_end = fleet.shared->now();
+    CHECK(fleet.run_until([&] { return fleet.machines.orders == 1; }, milliseconds(1'500)));
+}
