--- a/tests/scheduler/incarnation_test.cpp
+++ b/tests/scheduler/incarnation_test.cpp
@@ -61,3 +61,39 @@
     owner.update_server(make_server(1), start + std::chrono::milliseconds(600));
     CHECK_FALSE(owner.find_server("s")->registered);
 }
+
+TEST_CASE("a live server that was taken for ended is not ignored for ever", "[scheduler]")
+{
+    // Guards against a server that is of use to the next owner only.
+    scheduler::scheduler owner{scheduler::settings{}};
+    owner.update_server(make_server(1), start);
+    owner.end_incarnation("s", 1, start);
+    steady_time now = start;
+    constexpr std::chrono::milliseconds heartbeat{1'500};
+    while (now <= start + scheduler::settings{}.max_registration_lag)
+    {
+        now += heartbeat;
+        owner.advance(now, wall_time{}, {});
+        owner.update_server(make_server(1), now);
+    }
+    CHECK(owner.find_server("s")->registered);
+}
+
+TEST_CASE("a server whose clock is behind that of its machine's former one is not ignored for ever",
+          "[scheduler]")
+{
+    // Guards against taking it for an ended one as long as it registers.
+    scheduler::scheduler owner{scheduler::settings{}};
+    worker::server former = make_server(10'000);
+    former.id = "former";
+    owner.update_server(former, start);
+    owner.update_server(make_server(5'000), start);
+    owner.remove_server("former", start);
+    for (steady_time now = start; now <= start + std::chrono::milliseconds(9'500);
+         now += std::chrono::milliseconds(100))
+    {
+        owner.advance(now, wall_time{}, {});
+        owner.update_server(make_server(5'000), now);
+    }
+    CHECK(owner.find_server("s")->registered);
+}
