Give a pool another machine when the arriving ones do not help

Callers: a task that no machine of its pool may run got no machine while any was arriving there or returning from maintenance, so for the whole of a wave, or for up to 7.5 s for each machine whose server cannot register (cut zone). Cause: the planner took any arriving capacity for the remedy, without a limit. Change: after 3 s of waiting the pool gets another machine, and one more each 3 s while the task still waits. Evidence: the new test failed before (no move in 7 s) and passes (moves at 3 s and 6 s); [fleet] and [manager] pass.

--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -61,6 +61,17 @@
         slope * std::chrono::duration<double>(settings_.growth_horizon).count());
 }
 
+bool planner::needs_other_machine(const pool_view& pool, steady_time now)
+{
+    if (!pool.needs_other_machine)
+    {
+        waiting_since_.erase(pool.name);
+        return false;
+    }
+    const steady_time since = waiting_since_.try_emplace(pool.name, now).first->second;
+    return pool.incoming_cpu == 0 || now - since >= settings_.max_arrival_wait;
+}
+
 std::vector<planner::pool_plan> planner::plan_pools(std::span<const machine_view> machines,
                                                     std::span<const pool_view> pools,
                                                     steady_time now)
@@ -88,7 +99,7 @@
         plan.target = static_cast<std::int64_t>(static_cast<double>(demand) * settings_.headroom) +
                       settings_.spare_machines * machine_cpu;
         plan.capacity = pool.capacity_cpu + pool.incoming_cpu;
-        plan.needs_other_machine = pool.needs_other_machine && pool.incoming_cpu == 0;
+        plan.needs_other_machine = needs_other_machine(pool, now);
         plans.push_back(plan);
     }
     return plans;
@@ -211,6 +222,10 @@
                 source->capacity -= machine.cpu;
             }
             next->capacity += machine.cpu;
+            if (next->needs_other_machine)
+            {
+                waiting_since_[next->view->name] = now;
+            }
             next->needs_other_machine = false;
             orders.push_back({false, machine.name, machine.pool, next->view->name, "demand"});
             free_machines.erase(found);
--- a/src/fleet/planner.hpp
+++ b/src/fleet/planner.hpp
@@ -34,6 +34,9 @@
     /// Idle time after which a machine may move to the standby pool. At the sites' prices a move
     /// there and back costs about as much as 2.3 s of a powered-on machine.
     milliseconds min_idle_before_standby{1'500};
+    /// A task that no machine of its pool may run waits this long for a machine that is arriving,
+    /// which may not arrive or be of no use to it. Then the pool gets another.
+    milliseconds max_arrival_wait{3'000};
 };
 
 /// Current state of a machine.
@@ -111,6 +114,8 @@
     [[nodiscard]] std::vector<pool_plan> plan_pools(std::span<const machine_view> machines,
                                                     std::span<const pool_view> pools,
                                                     steady_time now);
+    /// True if the pool has to get a machine for a task that it cannot place.
+    [[nodiscard]] bool needs_other_machine(const pool_view& pool, steady_time now);
     [[nodiscard]] bool may_move(const machine_view& machine, const pool_plan& to,
                                 std::vector<pool_plan>& plans);
     [[nodiscard]] const machine_view*
@@ -120,6 +125,8 @@
 
     planner_settings settings_;
     std::map<std::string, std::deque<sample>> history_;
+    /// By pool: since when a task that it cannot place waits for a machine, or for another one.
+    std::map<std::string, steady_time> waiting_since_;
     std::set<std::pair<std::string, std::string>> forbidden_;
 };
 
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -316,3 +316,27 @@
     plans.draining = true;
     CHECK(marks_of(plans, "t", 1) == server_marks{true, false});
 }
+
+TEST_CASE("a pool whose machines keep returning still gets one for a task it cannot place",
+          "[fleet]")
+{
+    // Guards against a task that waits until a wave ends, or for a server that cannot register.
+    planner pool_planner{planner_settings{}};
+    const std::vector<machine_view> machines{idle_machine("i0", "standby"),
+                                             idle_machine("i1", "standby")};
+    pool_view lacking = make_pool("lacking", 0, 4);
+    lacking.needs_other_machine = true;
+    lacking.incoming_cpu = host_cpu;
+    pool_view standby = make_pool("standby", 0, 0);
+    standby.standby = true;
+    const std::vector<pool_view> pools{lacking, standby};
+    std::vector<milliseconds> ordered;
+    for (milliseconds time{0}; time <= milliseconds(7'000); time += milliseconds(100))
+    {
+        if (moves_to(pool_planner.decide(machines, pools, start + time), "lacking") > 0)
+        {
+            ordered.push_back(time);
+        }
+    }
+    CHECK(ordered == std::vector<milliseconds>{milliseconds(3'000), milliseconds(6'000)});
+}
