--- a/src/manager/fleet_controller.cpp
+++ b/src/manager/fleet_controller.cpp
@@ -21,10 +21,6 @@
 /// Interval between reads of the platform's machine list.
 constexpr milliseconds list_interval{1'500};
 constexpr milliseconds list_timeout{900};
-/// Time after which an order counts as over if the list shows its machine as up.
-constexpr milliseconds arrival_limit{6'000};
-/// A list requested at least this long after a confirmed order reflects its effect.
-constexpr milliseconds list_lag{600};
 /// A machine that does not become idle within this time is no longer drained for a move.
 constexpr milliseconds drain_limit{6'000};
 
@@ -83,6 +79,7 @@
             continue;
         }
         detect_arrivals();
+        mark_servers();
         if (!orders_loaded_ && !co_await load_orders())
         {
             continue;
@@ -117,13 +114,13 @@
         machine_entry& entry = machines_[machine.name];
         entry.in_latest_list = true;
         entry.listed = std::move(machine);
-        if (entry.ordered && entry.confirmed && entry.listed.state != fleet::machine_state::up)
+        const fleet::order_progress progress = progress_of(entry, requested_at);
+        if (entry.ordered && fleet::has_ended_server(progress))
         {
-            // The order is under way, so the former server has ended.
             owner_->job_scheduler().end_incarnation(entry.former_server, entry.former_born,
                                                     shared_.now());
         }
-        if (is_order_over(entry, requested_at))
+        if (entry.ordered && fleet::is_order_over(progress))
         {
             cancel_order(entry.listed.name);
         }
@@ -140,25 +137,28 @@
                        { return candidate.standby && candidate.name == name; });
 }
 
-bool fleet_controller::is_order_over(const machine_entry& machine, steady_time requested_at) const
+fleet::order_progress fleet_controller::progress_of(const machine_entry& machine,
+                                                    steady_time requested_at) const
 {
-    if (!machine.ordered || machine.listed.state != fleet::machine_state::up)
-    {
-        return false;
-    }
-    // A powered-off machine registers no server, so only the list shows that it has arrived.
-    const bool arrived_off =
-        machine.confirmed && is_standby(machine.listed.pool) &&
-        (machine.kind == order_kind::maintain || machine.listed.pool == machine.target_pool) &&
-        requested_at - machine.ordered_at >= list_lag;
-    return arrived_off || requested_at - machine.ordered_at >= arrival_limit;
+    const bool is_target =
+        machine.kind == order_kind::maintain || machine.listed.pool == machine.target_pool;
+    return {machine.listed.state, machine.confirmed, is_target && is_standby(machine.listed.pool),
+            std::chrono::duration_cast<milliseconds>(requested_at - machine.ordered_at)};
 }
 
-scheduler::server_state* fleet_controller::server_of(const std::string& machine)
+scheduler::server_state* fleet_controller::server_of(const std::string& name)
 {
-    const auto found = server_by_machine_.find(machine);
-    return found == server_by_machine_.end() ? nullptr
-                                             : owner_->job_scheduler().find_server(found->second);
+    scheduler::scheduler& jobs = owner_->job_scheduler();
+    const auto found = server_by_machine_.find(name);
+    if (found != server_by_machine_.end())
+    {
+        return jobs.find_server(found->second);
+    }
+    // Its registration may have lapsed while its runs go on.
+    const auto machine = machines_.find(name);
+    scheduler::server_state* server =
+        machine == machines_.end() ? nullptr : jobs.find_server(machine->second.listed.server);
+    return server == nullptr || server->tasks.empty() ? nullptr : server;
 }
 
 bool fleet_controller::is_reserved(const std::string& machine) const
@@ -167,6 +167,31 @@
     return found != reserved_until_.end() && shared_.now() < found->second;
 }
 
+void fleet_controller::mark(scheduler::server_state& server) const
+{
+    fleet::machine_plans plans;
+    const auto found = machines_.find(server.info.machine);
+    if (found != machines_.end())
+    {
+        const machine_entry& machine = found->second;
+        plans.ordered = machine.ordered;
+        plans.former_server = machine.former_server;
+        plans.former_born = machine.former_born;
+        plans.draining = !machine.drain_target_pool.empty() || machine.draining_for_wave != 0;
+    }
+    const fleet::server_marks marks = fleet::marks_of(plans, server.info.id, server.info.born);
+    server.closed = marks.closed;
+    server.ending = marks.ending;
+}
+
+void fleet_controller::mark_servers() const
+{
+    for (const auto& entry : owner_->job_scheduler().servers())
+    {
+        mark(*entry.second);
+    }
+}
+
 void fleet_controller::detect_arrivals()
 {
     server_by_machine_.clear();
@@ -214,9 +239,9 @@
         view.available = !machine.ordered && machine.draining_for_wave == 0 &&
                          machine.listed.state == fleet::machine_state::up &&
                          !is_reserved(entry.first);
-        if (server != nullptr)
+        if (server != nullptr && server->registered)
         {
-            view.idle = server->tasks.empty() && !server->info.draining && server->registered;
+            view.idle = server->tasks.empty() && !server->info.draining;
             view.idle_for = std::chrono::duration_cast<milliseconds>(now - server->idle_since);
             view.tasks = static_cast<int>(server->tasks.size());
             view.long_running_tasks = server->long_running_tasks;
@@ -284,9 +309,9 @@
     scheduler::server_state* server = server_of(name);
     if (server != nullptr)
     {
-        server->closed = true;
         machines_[name].drain_target_pool = pool;
         machines_[name].drain_started = now;
+        mark(*server);
     }
 }
 
@@ -324,6 +349,10 @@
 
 void fleet_controller::plan_waves(steady_time now)
 {
+    for (const auto& entry : owner_->job_scheduler().servers())
+    {
+        entry.second->maintenance_due = false;
+    }
     for (auto& entry : waves_)
     {
         wave_entry& wave = entry.second;
@@ -366,7 +395,6 @@
                     // as their disruption budgets allow. Until a machine is drained, other tasks
                     // use it.
                     server->maintenance_due = true;
-                    server->closed = server->closed || view.draining;
                     // Before the check below, so that no order overtakes a stop of this round.
                     owner_->job_scheduler().evacuate(*server);
                 }
@@ -404,7 +432,7 @@
             scheduler::server_state* server = server_of(name);
             if (server != nullptr)
             {
-                server->closed = true;
+                mark(*server);
             }
         }
         for (const std::string& name : step.maintain)
--- a/src/manager/fleet_controller.hpp
+++ b/src/manager/fleet_controller.hpp
@@ -2,7 +2,9 @@
 
 #include "fleet/model.hpp"
 #include "fleet/order_effect.hpp"
+#include "fleet/order_progress.hpp"
 #include "fleet/planner.hpp"
+#include "fleet/server_marks.hpp"
 #include "fleet/wave_plan.hpp"
 #include "manager/context.hpp"
 #include "manager/owner_session.hpp"
@@ -96,15 +98,21 @@
     boost::asio::awaitable<fleet::order_effect> check_former_server(std::string id,
                                                                     std::int64_t born);
     void detect_arrivals();
+    /// Updates what the scheduler knows about the plans for the server's machine.
+    void mark(scheduler::server_state& server) const;
+    void mark_servers() const;
     void cancel_order(const std::string& machine);
     void drain(const std::string& machine, const std::string& pool, steady_time now);
     [[nodiscard]] bool is_standby(const std::string& pool) const;
-    [[nodiscard]] bool is_order_over(const machine_entry& machine, steady_time requested_at) const;
+    [[nodiscard]] fleet::order_progress progress_of(const machine_entry& machine,
+                                                    steady_time requested_at) const;
     [[nodiscard]] bool is_reserved(const std::string& machine) const;
     void plan_moves(steady_time now);
     void plan_waves(steady_time now);
     void prepare_order(order_kind kind, const std::string& machine, const std::string& pool,
                        std::int64_t wave);
+    /// Returns the server on the machine, or null. One whose registration has lapsed counts while
+    /// it may have runs.
     [[nodiscard]] scheduler::server_state* server_of(const std::string& machine);
     [[nodiscard]] std::vector<fleet::machine_view> machine_views(steady_time now);
     [[nodiscard]] std::vector<fleet::pool_view> pool_views();
--- a/src/manager/fleet_controller_orders.cpp
+++ b/src/manager/fleet_controller_orders.cpp
@@ -143,8 +143,7 @@
     scheduler::server_state* server = server_of(name);
     if (server != nullptr)
     {
-        server->ending = false;
-        server->closed = machine.draining_for_wave != 0;
+        mark(*server);
     }
 }
 
@@ -164,10 +163,9 @@
     scheduler::server_state* server = server_of(name);
     if (server != nullptr)
     {
-        server->closed = true;
-        server->ending = true;
         machine.former_server = server->info.id;
         machine.former_born = server->info.born;
+        mark(*server);
     }
     planned_orders_.push_back(name);
 }
@@ -209,8 +207,8 @@
         return server != nullptr && !server->tasks.empty();
     };
     fleet::order_effect effect = fleet::order_effect::unknown;
-    // An idle machine that moves is not worth a call: if it has not moved, its registration shows
-    // so.
+    // An idle machine that moves is not worth a call: it is in another pool now, so the server in
+    // its former pool has ended.
     if (kind == order_kind::maintain || has_runs())
     {
         effect = co_await check_former_server(id, born);
@@ -229,13 +227,14 @@
             cancel_order(machine);
         }
     }
-    else if (effect == fleet::order_effect::ended || !has_runs())
+    else if (effect == fleet::order_effect::ended || (kind == order_kind::move && !has_runs()))
     {
         jobs.end_incarnation(id, born, shared_.now());
     }
     else
     {
-        // The runs may go on until their lease has expired.
+        // The server may live, as after a maintenance that was done before, and its runs may go on
+        // until their lease has expired. If it lives, it registers again.
         jobs.remove_server(id, shared_.now());
     }
 }
@@ -335,7 +334,11 @@
                 wave.started_at = shared_.now() - (shared_.store_time() - known->started_at);
             }
         }
-        co_await store_wave(entry.first);
+        // Not awaited: it is repeated for as long as the store refuses it.
+        boost::asio::co_spawn(
+            shared_.io,
+            [self = shared_from_this(), number = entry.first] { return self->store_wave(number); },
+            boost::asio::detached);
     }
 }
 
