Count further crashes of a task across takeovers

Callers saw a task that crashes its servers started three more times after three crashes when several owners were lost. A new owner does not know how long a run has worked and took each for older than 2 s. So a server that had crashed while there was no owner was never held against its task, and the first report that listed a run cleared the crashes counted before, even if the run had just begun.

Crashes are forgotten once a run has worked for 2 s. A run whose task still has some was therefore young when it was stored; after a takeover it now counts as started then. A run that has worked for 2 s also clears suspicions of earlier runs; before, a server that never returned kept its task suspected for ever.

--- a/src/scheduler/crash_blame.cpp
+++ b/src/scheduler/crash_blame.cpp
@@ -61,6 +61,18 @@
     return history;
 }
 
+bool has_crashes(const job::crash_history& history)
+{
+    return history.suspect || history.crashes > 0 || !history.suspicions.empty();
+}
+
+void forget_crashes(job::crash_history& history)
+{
+    history.crashes = 0;
+    history.suspect = false;
+    history.suspicions.clear();
+}
+
 bool is_suspected(const job::crash_history& history, int run)
 {
     return std::any_of(history.suspicions.begin(), history.suspicions.end(),
--- a/src/scheduler/crash_blame.hpp
+++ b/src/scheduler/crash_blame.hpp
@@ -46,6 +46,12 @@
     steady_time noticed{};
 };
 
+/// True if crashes of the task are counted or suspected.
+[[nodiscard]] bool has_crashes(const job::crash_history& history);
+
+/// Handles a run that has worked for longer than a crash takes.
+void forget_crashes(job::crash_history& history);
+
 /// True if a crash of the run is still suspected.
 [[nodiscard]] bool is_suspected(const job::crash_history& history, int run);
 
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -179,8 +179,10 @@
         --ref.parent_step().waiting;
         attach(ref, server);
         task.phase = task_phase::unresolved;
-        // How long the run has worked is not known, so it is not held responsible for crashes.
-        task.started = now - settings_.crash_window;
+        // How long the run has worked is not known. It is held responsible for crashes only if
+        // earlier ones count, as these are forgotten once it has worked for long enough.
+        task.started =
+            has_crashes(counted_task(ref).task().crashes) ? now : now - settings_.crash_window;
         task.resolve_after = now;
         if (job::is_final(job.reported_state))
         {
--- a/src/scheduler/scheduler_crashes.cpp
+++ b/src/scheduler/scheduler_crashes.cpp
@@ -124,11 +124,10 @@
 void scheduler::clear_proved(const task_ref& ref, steady_time now)
 {
     job::crash_history& history = counted_task(ref).task().crashes;
-    if (now - ref.task().started >= settings_.crash_window && history.suspicions.empty() &&
-        (history.suspect || history.crashes > 0))
+    if (now - ref.task().started >= settings_.crash_window && has_crashes(history) &&
+        !is_suspected(history, ref.task().run))
     {
-        history.suspect = false;
-        history.crashes = 0;
+        forget_crashes(history);
         mark_dirty(*ref.job);
     }
 }
