--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -9,6 +9,22 @@
 namespace lacewingquay::scheduler
 {
 
+namespace
+{
+
+/// Capacity that a task of the step reserves on its server.
+job::resources booked_by(const job::step& step)
+{
+    job::resources booked = step.request;
+    if (step.best_effort)
+    {
+        booked.cpu = 0;
+    }
+    return booked;
+}
+
+} // namespace
+
 scheduler::scheduler(settings values) : settings_(values) {}
 
 void scheduler::configure(const manager::configuration& values)
@@ -72,6 +88,7 @@
     if (stored != nullptr)
     {
         restore(job, *stored, now);
+        restore_suspicions(job, now);
     }
     plan_needed_ = true;
 }
@@ -145,7 +162,7 @@
         task.failures = saved.failures;
         task.failed_run = saved.failed_run;
         task.checkpoint = saved.checkpoint;
-        task.crashes = saved.crashes;
+        task.crashes = restored_crashes(saved);
         if (saved.done)
         {
             finish_task(ref);
@@ -166,20 +183,11 @@
         --ref.parent_step().waiting;
         attach(ref, server);
         task.phase = task_phase::unresolved;
-        // How long the run has worked is not known, so it is not held responsible for crashes.
-        task.started = now - settings_.crash_window;
+        // How long the run has worked is not known. It is held responsible for crashes only if
+        // earlier ones count, as these are forgotten once it has worked for long enough.
+        task.started =
+            has_crashes(counted_task(ref).task().crashes) ? now : now - settings_.crash_window;
         task.resolve_after = now;
-        if (saved.crashes.exposed_run == saved.run)
-        {
-            exposed_runs_.push_back({{job.record.id, saved.position},
-                                     saved.run,
-                                     saved.crashes.exposed_at_start,
-                                     saved.crashes.exposed_alone,
-                                     saved.server,
-                                     saved.server_born,
-                                     saved.crashes.machine,
-                                     now});
-        }
         if (job::is_final(job.reported_state))
         {
             task.stop_wanted = true;
@@ -237,13 +245,8 @@
     task.server = &server;
     task.at_full_speed = false;
     task.percent = 0;
-    job::resources booked = step.request;
-    if (step.best_effort)
-    {
-        booked.cpu = 0;
-        ++server.best_effort;
-    }
-    server.used += booked;
+    server.best_effort += step.best_effort ? 1 : 0;
+    server.used += booked_by(step);
     server.tasks.push_back(ref);
     server.long_running_tasks += step.long_running ? 1 : 0;
     ++ref.job->runs;
@@ -258,13 +261,8 @@
     }
     server_state& server = *task.server;
     const job::step& step = ref.definition();
-    job::resources booked = step.request;
-    if (step.best_effort)
-    {
-        booked.cpu = 0;
-        --server.best_effort;
-    }
-    server.used -= booked;
+    server.best_effort -= step.best_effort ? 1 : 0;
+    server.used -= booked_by(step);
     server.long_running_tasks -= step.long_running ? 1 : 0;
     const auto found = std::find(server.tasks.begin(), server.tasks.end(), ref);
     if (found != server.tasks.end())
@@ -394,16 +392,25 @@
     if (ended.kind == worker::end_kind::done && !step.long_running)
     {
         record_run_result(server, false, now);
-        if (step.gang)
+        if (step.gang && ended.run >= task.run)
         {
             end_gang_run(ref, ended.kind);
-            return;
         }
-        if (!current && has_run(task))
+        else if (step.gang)
+        {
+            for (std::size_t index = 0; index < ref.parent_step().tasks.size(); ++index)
+            {
+                finish_superseded({ref.job, ref.occurrence, ref.step, index});
+            }
+        }
+        else if (!current)
         {
-            unexpected_runs_[{task.server->info.id, ended.task}] = {task.run, steady_time{}};
+            finish_superseded(ref);
+        }
+        else
+        {
+            finish_task(ref);
         }
-        finish_task(ref);
         return;
     }
     if (ended.kind == worker::end_kind::failed && ended.run > task.failed_run &&
@@ -439,6 +446,34 @@
     requeue(ref);
 }
 
+void scheduler::finish_superseded(const task_ref& ref)
+{
+    const task_state& task = ref.task();
+    server_state* server = has_run(task) ? task.server : nullptr;
+    finish_task(ref);
+    if (server != nullptr)
+    {
+        stop_unexpected(*server, {ref.job->record.id, ref.position()}, task.run);
+    }
+}
+
+void scheduler::stop_unexpected(server_state& server, const worker::task_name& name, int run)
+{
+    unexpected_run& entry = unexpected_runs_[{server.info.id, name}];
+    if (run > entry.run)
+    {
+        entry.run = run;
+        entry.noticed = now_;
+        entry.stop_sent = {};
+    }
+    task_ref ref;
+    if (find_task(name, ref) && ref.task().server != &server && entry.booked == job::resources{})
+    {
+        entry.booked = booked_by(ref.definition());
+        server.used += entry.booked;
+    }
+}
+
 void scheduler::end_gang_run(const task_ref& ref, worker::end_kind kind)
 {
     step_state& step = ref.parent_step();
