Check in the simulation that no task waits beside a server with room

The simulation checked what must not happen, but not that anything does. It now checks, from the time at which the last fault has healed, that no accepted, uncancelled task whose turn has come is without a run for 6 s while a server that is up and reachable has enough free capacity by its own account.

New faults: the store is away and half of the registrations have expired when it returns, every third server is cut off, the owner hands over after a commit whose start orders are not sent, several takeovers in a row, a server ends and its machine returns with another id, a server restarts under its id, orders are executed seconds late. Servers renew their registrations, and a server that is known only from a stored run is not called, as it has no address; before, the simulated owner reached it nevertheless, which hid the waits.

--- a/tests/scheduler/scheduler_simulation.cpp
+++ b/tests/scheduler/scheduler_simulation.cpp
@@ -12,6 +12,7 @@
 constexpr milliseconds poll_interval{200};
 constexpr milliseconds restart_time{1'500};
 constexpr milliseconds takeover_time{2'500};
+constexpr milliseconds handover_time{200};
 constexpr milliseconds partition_time{4'000};
 /// A registration outlives its server by three heartbeats.
 constexpr milliseconds registration_time{4'500};
@@ -72,6 +73,7 @@
         server.info.capacity = capacity;
         server.info.born = 1;
         server.registration = server.info;
+        server.registered_until = now_ + registration_time;
         servers_[server.info.id] = std::move(server);
     }
 }
@@ -123,8 +125,7 @@
     for (const auto& entry : servers_)
     {
         const fake_server& server = entry.second;
-        const bool lingers = server.replaced && now_ < server.registered_until;
-        if (!server.registration.id.empty() && (reachable(server) || lingers))
+        if (is_registered(server))
         {
             owner_->update_server(entry.second.registration, now_);
         }
@@ -227,7 +228,7 @@
     {
         return order_outcome::other_server;
     }
-    if (!reachable(server))
+    if (!reachable(server) || order.endpoint.port == 0)
     {
         return order_outcome::unknown;
     }
@@ -252,13 +253,7 @@
         return order_outcome::too_late;
     }
     server.lease_end = std::max(server.lease_end, deadline);
-    job::resources used;
-    for (const auto& entry : server.running)
-    {
-        used += jobs_.at(entry.first.job)
-                    .work.steps[static_cast<std::size_t>(entry.first.position.step)]
-                    .request;
-    }
+    const job::resources used = used_by(server);
     const job::step& step =
         jobs_.at(order.task.job).work.steps[static_cast<std::size_t>(order.task.position.step)];
     if (!step.request.fits_into(server.info.capacity - used))
@@ -285,7 +280,7 @@
                                                  std::int64_t token)
 {
     fake_server& server = servers_[order.server];
-    if (!reachable(server))
+    if (!reachable(server) || order.endpoint.port == 0)
     {
         return worker::order_outcome::unknown;
     }
@@ -369,7 +364,7 @@
         fake_server& server = entry.second;
         server.info.capacity = capacity;
         server.registration.capacity = capacity;
-        if (owner_ && reachable(server))
+        if (owner_ && is_registered(server))
         {
             owner_->update_server(server.registration, now_);
         }
@@ -379,6 +374,7 @@
 void scheduler_simulation::kill_owner()
 {
     owner_.reset();
+    handing_over_ = false;
     next_owner_at_ = now_ + takeover_time;
 }
 
@@ -442,6 +438,7 @@
         next.info = server.info;
         next.info.id = "s" + std::to_string(servers_.size() + started.size());
         next.info.born += 1'000;
+        next.registration = {};
         next.register_at = now_ + milliseconds(50 * (random_() % 20));
         started.push_back(std::move(next));
     }
@@ -475,7 +472,8 @@
         {
             continue;
         }
-        if (server.registration.born != server.info.born && server.register_at <= now_)
+        if (server.registration.born != server.info.born && server.register_at <= now_ &&
+            !is_store_away())
         {
             server.registration = server.info;
             if (owner_)
@@ -557,7 +555,12 @@
     // The servers' clocks equal the simulated clock.
     const steady_time deadline{granted};
     order_outcome outcome = order_outcome::unknown;
-    if (chance(rates_.delayed_order))
+    if (now_ < orders_held_until_)
+    {
+        const milliseconds delay(std::uniform_int_distribution<int>(1'000, 5'000)(random_));
+        delayed_starts_.push_back({now_ + delay, order, term_, deadline, false});
+    }
+    else if (chance(rates_.delayed_order))
     {
         const bool in_network = random_() % 2 == 0;
         const milliseconds delay(
@@ -587,7 +590,8 @@
     {
         fake_server& server = entry.second;
         scheduler::server_state* known = owner_->find_server(entry.first);
-        if (known == nullptr || server.next_poll > now_)
+        // A server known only from a stored run has no address.
+        if (known == nullptr || known->info.endpoint.port == 0 || server.next_poll > now_)
         {
             continue;
         }
@@ -625,7 +629,10 @@
         {
             server.registration.clock = report.clock;
         }
-        owner_->update_server(server.registration, now_);
+        if (is_registered(server))
+        {
+            owner_->update_server(server.registration, now_);
+        }
         owner_->apply_report(entry.first, report, now_, now_);
     }
 }
@@ -633,7 +640,7 @@
 void scheduler_simulation::commit()
 {
     const scheduler::batch work = owner_->prepare(now_, 90);
-    if (chance(rates_.store_refuses))
+    if (is_store_away() || chance(rates_.store_refuses))
     {
         owner_->not_stored(work);
         return;
@@ -663,6 +670,13 @@
         return;
     }
     owner_->stored(work, now_);
+    if (handing_over_ && (!work.starts.empty() || now_ >= hand_over_by_))
+    {
+        handing_over_ = false;
+        owner_.reset();
+        next_owner_at_ = now_ + handover_time;
+        return;
+    }
     for (const worker::start_order& order : work.starts)
     {
         send(order);
@@ -673,14 +687,16 @@
 {
     now_ += step_time;
     advance_servers();
+    renew_registrations();
     if (owner_ && chance(rates_.owner_killed))
     {
         kill_owner();
     }
     if (!owner_)
     {
-        if (now_ < next_owner_at_)
+        if (now_ < next_owner_at_ || is_store_away())
         {
+            waiting_since_.clear();
             return;
         }
         take_over();
@@ -705,7 +721,11 @@
         owner_->stop_answered(order, stop(order, term_), now_);
     }
     commit();
-    check_waiting_count();
+    if (owner_)
+    {
+        check_waiting_count();
+    }
+    check_liveness();
 }
 
 void scheduler_simulation::run(milliseconds time)
--- a/tests/scheduler/scheduler_simulation.hpp
+++ b/tests/scheduler/scheduler_simulation.hpp
@@ -50,6 +50,7 @@
 /// Simulates backend servers, a store and successive owners in simulated time. Checks on every
 /// start and acknowledgement that no task runs twice at once, before the steps it depends on, after
 /// its end or beyond its attempts; and in every step that the count of waiting jobs omits none.
+/// Once all faults have healed, it also checks that no task waits while a server has room for it.
 class scheduler_simulation
 {
 public:
@@ -78,6 +79,30 @@
     /// Ends the owner's process; another one takes over after 2.5 s.
     void kill_owner();
 
+    /// Makes the store unavailable. Half of the registrations have expired when it returns and are
+    /// renewed within 2 s.
+    void cut_store(milliseconds time);
+
+    /// Cuts off every third server, from the number `zone` on.
+    void cut_zone(std::size_t zone, milliseconds time);
+
+    /// Ends the owner with the next commit that has start orders, or after 1 s. That commit is
+    /// stored, but its orders are not sent. Another owner takes over after 200 ms.
+    void hand_over();
+
+    /// Ends a server. Its machine returns with a server of another id; its registration expires at
+    /// once or as after a crash.
+    void end_server(const std::string& id, milliseconds return_time, bool is_unregistered);
+
+    /// Restarts a server at once under the same id.
+    void restart_server(const std::string& id);
+
+    /// For some time, start orders are not answered, and executed 1 s to 5 s late.
+    void hold_orders(milliseconds time) { orders_held_until_ = now_ + time; }
+
+    /// Any server that is up.
+    [[nodiscard]] std::string any_server();
+
     /// Changes what the servers can run and register from now on.
     void set_capacity(job::resources capacity);
 
@@ -126,6 +151,10 @@
         bool is_replaced_now = false;
         /// Until then a new owner still reads its registration.
         steady_time registered_until{};
+        /// When it next renews its registration.
+        steady_time next_heartbeat{};
+        /// True once its registration has expired.
+        bool lapsed = false;
         steady_time partitioned_until{};
         std::int64_t highest_token = 0;
         steady_time lease_end{};
@@ -152,6 +181,7 @@
     void advance_servers();
     void crash_servers();
     void replace_servers();
+    void renew_registrations();
     void count_crash(const fake_server& server);
     void deliver_delayed_starts();
     worker::order_outcome start(const worker::start_order& order, std::int64_t token,
@@ -163,6 +193,20 @@
     void check_start(const worker::start_order& order);
     /// Checks that the owner counts every job as waiting that no server has begun.
     void check_waiting_count();
+    /// Checks that no task that could run has waited for 6 s since the last fault healed.
+    void check_liveness();
+    void check_task_runs(const worker::task_name& task, const job::step& step);
+    /// True if no fault is in effect.
+    [[nodiscard]] bool is_calm() const;
+    [[nodiscard]] bool is_store_away() const { return now_ < store_returns_at_; }
+    [[nodiscard]] bool is_registered(const fake_server& server) const;
+    [[nodiscard]] bool has_run_or_end(const worker::task_name& task) const;
+    /// A server with enough free capacity for the step, or null.
+    [[nodiscard]] const fake_server* find_room(const job::step& step) const;
+    [[nodiscard]] job::resources used_by(const fake_server& server) const;
+    [[nodiscard]] bool is_stored_as_done(const worker::task_name& task) const;
+    /// What the owner knows of the task's run.
+    [[nodiscard]] std::string describe_run(const worker::task_name& task) const;
     void record_violation(const std::string& text);
     [[nodiscard]] bool chance(double probability);
     [[nodiscard]] bool reachable(const fake_server& server) const;
@@ -190,6 +234,13 @@
     std::map<worker::task_name, int> acknowledged_failures_;
     std::map<worker::task_name, steady_time> last_start_;
     std::map<std::string, steady_time> lapsed_;
+    steady_time store_returns_at_{};
+    bool store_was_away_ = false;
+    steady_time orders_held_until_{};
+    bool handing_over_ = false;
+    steady_time hand_over_by_{};
+    /// Since when, without a fault, a task has had no run although a server had room.
+    std::map<worker::task_name, steady_time> waiting_since_;
     std::set<worker::task_name> deadly_;
     milliseconds min_replacement_time_{3'000};
     milliseconds max_replacement_time_{3'000};
