Show that suspects of one crash take turns on a single server

A task that was just started when its server crashed shares no server with another such task until it has worked for 2 s. Where one server has room, the last of several waits for all others in turn, longer than the 6 s within which a task should run.

--- a/tests/scheduler/suspicion_test.cpp
+++ b/tests/scheduler/suspicion_test.cpp
@@ -2,8 +2,8 @@
 
 #include <catch2/catch.hpp>
 
-#include <set>
 #include <string>
+#include <utility>
 
 using namespace lacewingquay;
 using namespace lacewingquay::test;
@@ -123,3 +123,23 @@
     server.run(now, timing.crash_proof_wait + milliseconds(6'000));
     CHECK(server.runs() == 3);
 }
+
+TEST_CASE("suspects of one crash do not take turns on a single server for longer than 6 s",
+          "[scheduler][!shouldfail]")
+{
+    scheduler::scheduler owner{scheduler::settings{}};
+    steady_time now{std::chrono::hours(1)};
+    for (int number = 0; number < 6; ++number)
+    {
+        job::progress stored;
+        stored.reported_state = job::state::running;
+        stored.tasks.push_back({{0, 0, 0}, false, 1, 0, 0, "", 0, ""});
+        stored.tasks.front().crashes.crashes = 1;
+        stored.tasks.front().crashes.crashed_run = 1;
+        stored.tasks.front().crashes.suspect = true;
+        owner.add_job(make_lasting_job(number), &stored, milliseconds(0), now);
+    }
+    healthy_server server(owner, make_server("s2", "m2"));
+    server.run(now, milliseconds(6'000));
+    CHECK(server.runs() == 6);
+}
