Keep at most one stop of a run under way, and refusals out of the start bound

Stops took over the timeout of up to 1.5 s, though a stop is repeated after 0.5 s, so that three could be under way for one run just when calls queue. And a connection that is refused at once, as in a cut, counted as a quick answer, so that a host whose orders queue was allowed more of them.

--- a/src/manager/owner_session_orders.cpp
+++ b/src/manager/owner_session_orders.cpp
@@ -18,6 +18,9 @@
 
 constexpr auto nothrow_awaitable = boost::asio::as_tuple(boost::asio::use_awaitable);
 
+/// Below the interval at which stop orders are repeated, so that no two of them are under way for
+/// one run.
+constexpr milliseconds max_stop_time{450};
 /// How long a server holds a poll while no run ends.
 constexpr milliseconds poll_wait{1'000};
 /// Used instead while a long-running task on the server is starting up: until it is at work, no
@@ -126,7 +129,8 @@
         {
             co_return;
         }
-        finish_start(delay);
+        // A connection that is refused at once does not show how long orders queue.
+        finish_start(outcome == worker::order_outcome::not_sent ? std::nullopt : delay);
         if (outcome == worker::order_outcome::fenced)
         {
             end("a server has seen a higher fencing token");
@@ -182,7 +186,7 @@
     const std::shared_ptr<owner_session> self = shared_from_this();
     ++counters_.stops;
     const adapter::order_result result =
-        co_await shared_.workers.stop(order, term_, starts_.timeout());
+        co_await shared_.workers.stop(order, term_, std::min(starts_.timeout(), max_stop_time));
     if (ended_)
     {
         co_return;
