Plan the rest of a job at once, and keep unplaceable tasks while starts wait

When the permitted starts ended within the last job that waits, nothing asked for the next plan, so a host with a limit of 32 started 128 tasks a second at most. And a plan without a permitted start forgot which tasks need another machine, so their pool's wait for one began anew.

--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -81,6 +81,11 @@
 
     void run()
     {
+        if (is_exhausted())
+        {
+            owner_.plan_needed_ = true;
+            return;
+        }
         owner_.unplaceable_.clear();
         std::vector<candidate> waiting = collect();
         std::sort(waiting.begin(), waiting.end(),
@@ -90,12 +95,12 @@
         {
             if (is_exhausted())
             {
-                // The rest is planned once earlier orders have been answered.
-                owner_.plan_needed_ = true;
                 break;
             }
             place_job(entry);
         }
+        // The rest is planned once earlier orders have been answered.
+        owner_.plan_needed_ = owner_.plan_needed_ || (is_exhausted() && !waiting.empty());
     }
 
 private:
