--- a/tests/manager/owner_overload_test.cpp
+++ b/tests/manager/owner_overload_test.cpp
@@ -36,7 +36,7 @@
     co_await timer.async_wait(boost::asio::use_awaitable);
 }
 
-http::response make_reply(boost::json::object body)
+http::response make_reply(const boost::json::object& body)
 {
     return http::make_response(http::status::ok, boost::json::serialize(body));
 }
