--- a/tests/manager/owner_overload_test.cpp
+++ b/tests/manager/owner_overload_test.cpp
@@ -103,7 +103,7 @@
             }
             reply["running"] = std::move(list);
             reply["ended"] = boost::json::array{};
-            co_return make_reply(std::move(reply));
+            co_return make_reply(reply);
         }
         const std::string task(body.at("task").as_string());
         const std::int64_t run = body.at("run").as_int64();
@@ -118,7 +118,7 @@
             ++starts;
             running[server][task] = run;
         }
-        co_return make_reply(std::move(reply));
+        co_return make_reply(reply);
     }
 
     [[nodiscard]] std::size_t running_tasks() const
