Show that a checkpoint of two lines makes ended tasks run again

A checkpoint with a line feed makes the stored progress of its job unreadable. After the owner is killed, the next owner starts all tasks of these jobs again, also those that ended as done.

--- a/review/standins.py
+++ b/review/standins.py
@@ -229,6 +229,8 @@
         self.cut = False
         self.on_start = lambda minion, task, run, body: None
         self.on_end = lambda minion, task, run, how: None
+        # An end is forgotten once `last-seen` has reached it: it has been taken note of.
+        self.on_noted = lambda task, how: None
 
     async def start(self, clock_error_ms=0):
         self.born = int(time.time() * 1000) + clock_error_ms
@@ -314,6 +316,9 @@
 
     async def hold(self, body):
         self.extend(body)
+        for end in self.ended:
+            if end[0] <= body.get("last-seen", 0):
+                self.on_noted(end[1], end[3])
         self.ended = [end for end in self.ended if end[0] > body.get("last-seen", 0)]
         deadline = time.monotonic() + min(body.get("wait-ms", 0), 2000) / 1000
         while not self.ended and time.monotonic() < deadline:
