Show that a gang's task runs twice beside restarts of minions

While the store is slow, a minion of a gang is found to have started again during the transaction that stores the gang's start. The gang is planned again, and the orders of both runs go out within milliseconds.

--- a/review/standins.py
+++ b/review/standins.py
@@ -103,6 +103,8 @@
         self.begin = time.monotonic() - 50
         self.parts = {}
         self.refused = 0
+        # How many times as long as usual answers and transactions take.
+        self.slow = 1.0
         # Called for each transaction; may return seconds after which it is performed without an answer.
         self.lose = lambda work: None
 
@@ -142,10 +144,12 @@
         if parts.path == "/lacewingquay/rows-tx" and method == "POST":
             return await self.transact(body)
         if parts.path == "/lacewingquay/rows-get":
-            await asyncio.sleep(ANSWER_S)
+            await asyncio.sleep(ANSWER_S * self.slow)
             return 200, self.get(query)
         if parts.path == "/lacewingquay/rows-feed":
-            return 200, await self.feed(query)
+            answer = await self.feed(query)
+            await asyncio.sleep(ANSWER_S * self.slow)
+            return 200, answer
         return 404, {}
 
     def get(self, query):
@@ -187,7 +191,7 @@
             return None
         part = next((entry["part"] for entry in work["precondition"] + work["set-keys"] + work["remove"]), "")
         async with self.parts.setdefault(part, asyncio.Lock()):
-            await asyncio.sleep(TX_S)
+            await asyncio.sleep(TX_S * self.slow)
             return self.perform(work, len(body))
 
     def perform(self, work, size):
@@ -413,7 +417,7 @@
                                self.store, self.record, jobs, cpu) for number in range(minions)]
         self.services = services
         self.servers, self.tasks = [], []
-        self.exits = []
+        self.cloud_handler = self.cloud
 
     @staticmethod
     def free_network():
@@ -436,7 +440,7 @@
 
     async def start(self, routes):
         self.servers.append(await serve(self.platform, self.STORE, self.store.answer))
-        self.servers.append(await serve(self.platform, self.CLOUD, self.cloud))
+        self.servers.append(await serve(self.platform, self.CLOUD, self.cloud_handler))
         self.store.operator_write("op", "config", {
             "version": 7, "routes": routes, "limits": {"max-body-bytes": 262144}, "services": [
                 {"name": name, "admission-check": True, "standby": False} for name in self.services]})
