--- a/review/standins.py
+++ b/review/standins.py
@@ -77,14 +77,15 @@
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
                 answer = await handler(method, target, headers, body)
                 if answer is None:
-                    await asyncio.sleep(60)
+                    # Until the other side gives up; its descriptor is free again then.
+                    await asyncio.wait_for(reader.read(1), 60)
                     return
                 status, content = answer
                 data = json.dumps(content).encode()
                 writer.write(f"HTTP/1.1 {status} {REASONS[status]}\r\ncontent-type: application/json\r\n"
                              f"content-length: {len(data)}\r\n\r\n".encode() + data)
                 await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError, asyncio.TimeoutError):
             pass
         finally:
             if connections is not None:
