Date what an answer confirms from the call, not from its reading

Cause: the ages of the permissions were counted from the time at which the answer of a transaction was read. An answer that waited in the socket during the pause renewed all of them. The same dating was found for the takeover, for the renewal while loading, for an outage of the store (which permits leases, without any age), for the store's clock and for the record of machine orders, which could be 3.6 s older than the order.

In the test, the host stands still for 0.9 s while a commit is under way; its permission was 0 ms old afterwards.

Why it works: a confirmation holds at some time between the call and its answer, so counting from the call never overstates it. All permissions end before another host may act, reckoned from there.

--- a/src/manager/context.hpp
+++ b/src/manager/context.hpp
@@ -9,6 +9,7 @@
 #include "manager/metrics.hpp"
 #include "manager/ownership.hpp"
 #include "manager/settings.hpp"
+#include "manager/store_clock.hpp"
 #include "platform/store.hpp"
 #include "platform/worker_calls.hpp"
 
@@ -53,27 +54,22 @@
 {
     context(settings values, boost::asio::io_context& io_context)
         : config(std::move(values)), io(io_context),
-          connections(io.get_executor(), http::pool_settings{}), store(connections, config.store),
-          workers(connections), machines(connections, config.machines, config.host),
+          connections(io.get_executor(), http::pool_settings{}),
+          store(connections, config.store, clock), workers(connections),
+          machines(connections, config.machines, config.host),
           owner(ownership_settings{}, config.host, config.resources), jobs(cached_jobs)
     {
     }
 
     [[nodiscard]] steady_time now() const { return clock.steady_now(); }
 
-    /// The store's steady clock, extrapolated from the latest response that carried it.
-    [[nodiscard]] milliseconds store_time() const
-    {
-        return store_clock + std::chrono::duration_cast<milliseconds>(now() - store_clock_updated);
-    }
+    /// The store's steady clock, extrapolated from its answers.
+    [[nodiscard]] milliseconds store_time() const { return clock_of_store.at(now()); }
 
-    void update_store_time(milliseconds value)
+    /// Takes the store's clock from an answer to a call that was made at `requested_at`.
+    void update_store_time(milliseconds value, steady_time requested_at)
     {
-        if (value.count() > 0)
-        {
-            store_clock = value;
-            store_clock_updated = now();
-        }
+        clock_of_store.observe(value, requested_at, now());
     }
 
     settings config;
@@ -88,8 +84,7 @@
     load_tracker load;
     metrics daemon_metrics;
     std::shared_ptr<const configuration> current;
-    milliseconds store_clock{0};
-    steady_time store_clock_updated{};
+    store_clock clock_of_store;
     /// The latest call to the store failed.
     bool store_unavailable = false;
     /// This host has lost the store while other hosts may still reach it.
@@ -98,6 +93,8 @@
     std::map<std::string, host_record> hosts;
     /// Start of the current outage; valid while `store_unavailable` is set.
     steady_time store_unavailable_since{};
+    /// When the latest of the calls that failed was made.
+    steady_time failed_call_made{};
     bool stopping = false;
 };
 
--- a/src/manager/feed.cpp
+++ b/src/manager/feed.cpp
@@ -24,8 +24,12 @@
 constexpr std::size_t parallel_reads = 8;
 
 void record_store_call(context& shared, std::string_view table, bool answered,
-                       std::string_view reason)
+                       steady_time requested_at, std::string_view reason)
 {
+    if (!answered)
+    {
+        shared.failed_call_made = std::max(shared.failed_call_made, requested_at);
+    }
     if (answered && shared.store_unavailable)
     {
         shared.store_unavailable = false;
@@ -73,13 +77,13 @@
     {
         adapter::read_result page =
             co_await shared.store.read(reading.table, part, from, read_timeout);
-        record_store_call(shared, reading.table, page.ok, page.reason);
+        record_store_call(shared, reading.table, page.ok, page.requested_at, page.reason);
         if (!page.ok)
         {
             reading.failed = true;
             co_return;
         }
-        shared.update_store_time(page.store_time);
+        shared.update_store_time(page.store_time, page.requested_at);
         table_read& result = reading.result;
         if (is_first)
         {
@@ -176,7 +180,8 @@
         {
             co_return;
         }
-        record_store_call(shared, feed.table, changes.ok || changes.history_lost, changes.reason);
+        record_store_call(shared, feed.table, changes.ok || changes.history_lost,
+                          changes.requested_at, changes.reason);
         if (changes.history_lost)
         {
             log_event(log_level::info, "feed_history_lost",
@@ -190,7 +195,7 @@
             co_await sleep_for(shared, retry_pause);
             continue;
         }
-        shared.update_store_time(changes.store_time);
+        shared.update_store_time(changes.store_time, changes.requested_at);
         // A lagging replica may answer with an earlier version; later changes can be missing then.
         if (changes.version >= position.version)
         {
--- a/src/manager/fleet_controller.hpp
+++ b/src/manager/fleet_controller.hpp
@@ -54,6 +54,7 @@
         order_kind kind = order_kind::move;
         std::string target_pool;
         std::int64_t wave = 0;
+        /// As stored for a later owner: the order is sent shortly after this time.
         steady_time ordered_at{};
         /// The platform has confirmed the order.
         bool confirmed = false;
@@ -94,6 +95,9 @@
     boost::asio::awaitable<void> store_wave(std::int64_t number);
     /// Handles the backend server that ran on the machine when a now confirmed order was sent.
     boost::asio::awaitable<void> apply_confirmed_order(order_kind kind, std::string machine);
+    /// True if the machine's order was recorded a moment ago. To be checked immediately before it is
+    /// sent.
+    [[nodiscard]] bool is_order_due(const std::string& name);
     /// Calls that server to learn whether the order has ended it.
     boost::asio::awaitable<fleet::order_effect> check_former_server(std::string id,
                                                                     std::int64_t born);
--- a/src/manager/fleet_controller_orders.cpp
+++ b/src/manager/fleet_controller_orders.cpp
@@ -22,6 +22,10 @@
 constexpr milliseconds check_timeout{400};
 /// Safety margin on the machine lease between the orders of two owners.
 constexpr milliseconds takeover_margin{400};
+/// Pause between attempts to store the state of a wave.
+constexpr milliseconds wave_retry_pause{300};
+/// An order is sent within this time of the time that its record names, or not at all.
+constexpr milliseconds send_limit{1'000};
 
 /// Stored progress of a wave.
 struct wave_progress
@@ -75,19 +79,28 @@
         const std::int64_t at = entry.value().to_number<std::int64_t>(error);
         const milliseconds age = error ? milliseconds(0) : shared_.store_time() - milliseconds(at);
         reserved_until_[entry.key()] =
-            shared_.now() - age + shared_.config.machine_lease + takeover_margin;
+            shared_.now() - age + send_limit + shared_.config.machine_lease + takeover_margin;
     }
     co_return true;
 }
 
 boost::asio::awaitable<bool> fleet_controller::store_orders()
 {
+    // A transaction that is repeated takes long, so the record names the latest attempt.
+    for (const std::string& name : planned_orders_)
+    {
+        const auto found = machines_.find(name);
+        if (found != machines_.end())
+        {
+            found->second.ordered_at = shared_.now();
+        }
+    }
     boost::json::object body;
     for (const auto& entry : machines_)
     {
         const milliseconds age =
             std::chrono::duration_cast<milliseconds>(shared_.now() - entry.second.ordered_at);
-        if (age < shared_.config.machine_lease + takeover_margin)
+        if (age < send_limit + shared_.config.machine_lease + takeover_margin)
         {
             body[entry.first] = (shared_.store_time() - age).count();
         }
@@ -239,14 +252,21 @@
     }
 }
 
+bool fleet_controller::is_order_due(const std::string& name)
+{
+    const auto found = machines_.find(name);
+    return found != machines_.end() && found->second.ordered &&
+           shared_.now() - found->second.ordered_at < send_limit;
+}
+
 boost::asio::awaitable<void> fleet_controller::order(order_kind kind, std::string machine,
                                                      std::string pool, std::int64_t wave)
 {
     const std::shared_ptr<fleet_controller> self = shared_from_this();
     adapter::machine_outcome outcome = adapter::machine_outcome::refused;
-    const auto may_send = [owner = owner_]
+    const auto may_send = [self, machine]
     {
-        return owner->may_order_machines();
+        return self->owner_->may_order_machines() && self->is_order_due(machine);
     };
     if (may_send())
     {
@@ -347,6 +367,15 @@
     const std::shared_ptr<fleet_controller> self = shared_from_this();
     const std::string name = "wave/" + std::to_string(number);
     wave_entry& wave = waves_[number];
+    // Another owner may have stored more since this one was last confirmed.
+    while (!owner_->may_order_machines() && !owner_->ended())
+    {
+        co_await sleep_for(shared_, wave_retry_pause);
+    }
+    if (owner_->ended())
+    {
+        co_return;
+    }
     boost::json::array done;
     for (const std::string& machine : wave.done)
     {
@@ -367,11 +396,15 @@
         report.writes.push_back(
             {std::string(status_table), name,
              wave.completed ? R"({"state":"completed"})" : R"({"state":"running"})"});
-        const adapter::commit_result result = co_await shared_.store.commit(report, commit_timeout);
-        reported = result.outcome == adapter::commit_outcome::done;
+        if (owner_->may_order_machines())
+        {
+            const adapter::commit_result result =
+                co_await shared_.store.commit(report, commit_timeout);
+            reported = result.outcome == adapter::commit_outcome::done;
+        }
         if (!reported)
         {
-            co_await sleep_for(shared_, milliseconds(300));
+            co_await sleep_for(shared_, wave_retry_pause);
         }
     }
 }
--- a/src/manager/job_api.cpp
+++ b/src/manager/job_api.cpp
@@ -422,7 +422,7 @@
         std::erase_if(from.pending, [&](const std::shared_ptr<pending_write>& entry)
                       { return std::find(batch.begin(), batch.end(), entry) != batch.end(); });
         const adapter::commit_result result = co_await shared_.store.commit(work, timeout);
-        shared_.update_store_time(result.store_time);
+        shared_.update_store_time(result.store_time, result.requested_at);
         apply_commit_result(from, batch, result);
         if (result.outcome == adapter::commit_outcome::unknown ||
             result.outcome == adapter::commit_outcome::refused)
--- a/src/manager/order_permission.hpp
+++ b/src/manager/order_permission.hpp
@@ -8,12 +8,15 @@
 /// What an owner knows about its ownership.
 struct ownership_evidence
 {
-    /// Time since the store last confirmed the ownership; suspended time counts.
+    /// Time since the latest call was made by which the store confirmed the ownership; suspended
+    /// time counts. Not since the answer was read: it may have waited there for long.
     milliseconds confirmed_age{0};
     /// The store does not answer this host.
     bool store_unavailable = false;
     /// Other hosts may still reach the store, so one of them may take over.
     bool isolated = false;
+    /// Time since the latest call to the store that failed was made.
+    milliseconds outage_age{0};
 };
 
 /// Settings of the permissions of an owner. Each age stays below the time after which another host
@@ -28,6 +31,9 @@
     /// Leases, while another host may take over. A new owner assumes that they are not extended for
     /// longer than `scheduler::settings::takeover_slack`.
     milliseconds lease_age{2'500};
+    /// A failed call shows that the store is unavailable for this long: longer than the calls of an
+    /// outage are apart, and shorter than a takeover plus the time above.
+    milliseconds outage_age{3'000};
 };
 
 /// True if an order to a machine may be sent now.
@@ -50,7 +56,8 @@
                                                const permission_settings& values = {})
 {
     return evidence.confirmed_age < values.lease_age ||
-           (evidence.store_unavailable && !evidence.isolated);
+           (evidence.store_unavailable && !evidence.isolated &&
+            evidence.outage_age < values.outage_age);
 }
 
 } // namespace lacewingquay::manager
--- a/src/manager/owner_election.cpp
+++ b/src/manager/owner_election.cpp
@@ -241,9 +241,10 @@
                {"reason", result.reason}});
     if (result.outcome == adapter::commit_outcome::done)
     {
-        shared_.update_store_time(result.store_time);
+        shared_.update_store_time(result.store_time, result.requested_at);
         shared_.owner.observe(own_row, result.version, milliseconds(0), shared_.now());
-        session_ = std::make_shared<owner_session>(shared_, term, result.version);
+        session_ =
+            std::make_shared<owner_session>(shared_, term, result.version, result.requested_at);
         session_->start();
         fleet_ = std::make_shared<fleet_controller>(shared_, session_);
         for (const auto& entry : waves_)
--- a/src/manager/owner_session.cpp
+++ b/src/manager/owner_session.cpp
@@ -50,9 +50,10 @@
 
 } // namespace
 
-owner_session::owner_session(context& shared, std::int64_t term, std::int64_t owner_version)
+owner_session::owner_session(context& shared, std::int64_t term, std::int64_t owner_version,
+                             steady_time confirmed_at)
     : shared_(shared), scheduler_(scheduler_settings(shared.config)), term_(term),
-      owner_version_(owner_version), last_renewal_(shared.now()), last_commit_(shared.now()),
+      owner_version_(owner_version), last_renewal_(confirmed_at), confirmed_at_(confirmed_at),
       wake_timer_(shared.io.get_executor()), starts_(window_for(shared.config.resources))
 {
 }
@@ -319,12 +320,12 @@
     if (result.outcome == commit_outcome::done)
     {
         commit_in_doubt_ = false;
-        last_commit_ = now;
-        shared_.update_store_time(result.store_time);
+        confirmed_at_ = result.requested_at;
+        shared_.update_store_time(result.store_time, result.requested_at);
         if (renewed)
         {
             owner_version_ = result.version;
-            last_renewal_ = now;
+            last_renewal_ = result.requested_at;
             shared_.load.observe(current_load(), result.version);
         }
         for (const scheduler::progress_write& write : work.writes)
--- a/src/manager/owner_session.hpp
+++ b/src/manager/owner_session.hpp
@@ -37,7 +37,9 @@
 class owner_session : public std::enable_shared_from_this<owner_session>
 {
 public:
-    owner_session(context& shared, std::int64_t term, std::int64_t owner_version);
+    /// `confirmed_at` is when the takeover was requested from the store.
+    owner_session(context& shared, std::int64_t term, std::int64_t owner_version,
+                  steady_time confirmed_at);
 
     /// Reads all state, then schedules.
     void start();
@@ -64,8 +66,10 @@
     /// What this host knows about its ownership now.
     [[nodiscard]] ownership_evidence evidence() const
     {
-        return {std::chrono::duration_cast<milliseconds>(shared_.now() - last_commit_),
-                shared_.store_unavailable, shared_.isolated};
+        const steady_time now = shared_.now();
+        return {std::chrono::duration_cast<milliseconds>(now - confirmed_at_),
+                shared_.store_unavailable, shared_.isolated,
+                std::chrono::duration_cast<milliseconds>(now - shared_.failed_call_made)};
     }
 
     /// True if orders to machines may be sent now.
@@ -124,8 +128,10 @@
     /// The outcome of a transaction is unknown. The next one renews the owner's row, so that the
     /// earlier one can no longer be performed.
     bool commit_in_doubt_ = false;
+    /// When the latest successful renewal of the owner's row was requested.
     steady_time last_renewal_{};
-    steady_time last_commit_{};
+    /// When the latest transaction that confirmed the ownership was requested.
+    steady_time confirmed_at_{};
     boost::asio::steady_timer wake_timer_;
     std::map<std::string, std::shared_ptr<boost::asio::steady_timer>> poll_timers_;
     /// Requests to the advice service that have not been sent yet.
--- a/src/manager/owner_session_load.cpp
+++ b/src/manager/owner_session_load.cpp
@@ -77,10 +77,10 @@
         }
         if (result.outcome == adapter::commit_outcome::done)
         {
-            shared_.update_store_time(result.store_time);
+            shared_.update_store_time(result.store_time, result.requested_at);
             owner_version_ = std::max(owner_version_, result.version);
-            last_renewal_ = shared_.now();
-            last_commit_ = last_renewal_;
+            last_renewal_ = result.requested_at;
+            confirmed_at_ = result.requested_at;
             if (is_release)
             {
                 end("released");
--- a/src/manager/waiting_counts.cpp
+++ b/src/manager/waiting_counts.cpp
@@ -157,7 +157,7 @@
     {
         co_return changes.history_lost ? "history_lost" : "read_failed";
     }
-    shared_.update_store_time(changes.store_time);
+    shared_.update_store_time(changes.store_time, changes.requested_at);
     queue_counts added;
     for (const adapter::row& row : changes.rows)
     {
--- a/tests/manager/fleet_controller_test.cpp
+++ b/tests/manager/fleet_controller_test.cpp
@@ -28,7 +28,14 @@
         {
             co_return http::make_response(http::status::service_unavailable, "{}");
         }
-        version += target.find("rows-tx") != std::string::npos ? 1 : 0;
+        const bool is_commit = target.find("rows-tx") != std::string::npos;
+        if (is_commit && received.body().find("\"orders\"") != std::string::npos)
+        {
+            on_record();
+            boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, record_time);
+            co_await timer.async_wait(boost::asio::use_awaitable);
+        }
+        version += is_commit ? 1 : 0;
         server_reads += target.find(servers_table) != std::string::npos ? 1 : 0;
         co_return http::make_response(
             http::status::ok,
@@ -38,6 +45,10 @@
 
     /// Writes to the status table are refused.
     bool status_fails = false;
+    /// Called before orders are recorded, which takes `record_time`.
+    std::function<void()> on_record = [] {
+    };
+    milliseconds record_time{0};
     std::int64_t version = 10;
     int server_reads = 0;
 };
@@ -97,7 +108,7 @@
         configuration current;
         current.pools.push_back({"pool", false});
         shared->current = std::make_shared<configuration>(current);
-        session = std::make_shared<owner_session>(*shared, 1, store.version);
+        session = std::make_shared<owner_session>(*shared, 1, store.version, shared->now());
         session->start();
         // Later reads of the registrations are of changes only.
         run_until([&] { return session->is_loaded() && store.server_reads >= 3; });
@@ -133,6 +144,26 @@
 
     scheduler::server_state& server() { return *session->job_scheduler().find_server("s"); }
 
+    /// Adds a task that runs on the server and must not be interrupted.
+    void add_long_running_task()
+    {
+        job::record record;
+        record.id = "job";
+        record.queue.pool = "pool";
+        job::step step;
+        step.count = 1;
+        step.request = {1'000, 100, 0};
+        step.long_running = true;
+        record.work.steps.push_back(step);
+        job::progress stored;
+        job::task_progress run;
+        run.run = 1;
+        run.server = "s";
+        run.server_born = 1;
+        stored.tasks.push_back(run);
+        session->job_scheduler().add_job(record, &stored, milliseconds(0), shared->now());
+    }
+
     void maintain() { controller->add_wave({1, {"m"}, std::chrono::seconds(60), 1}); }
 
     template <typename Predicate>
@@ -246,21 +277,7 @@
     // Guards against ending more tasks than the disruption budget allows after a store outage.
     fleet_fixture fleet;
     scheduler::scheduler& jobs = fleet.session->job_scheduler();
-    job::record record;
-    record.id = "job";
-    record.queue.pool = "pool";
-    job::step step;
-    step.count = 1;
-    step.request = {1'000, 100, 0};
-    step.long_running = true;
-    record.work.steps.push_back(step);
-    job::progress stored;
-    job::task_progress run;
-    run.run = 1;
-    run.server = "s";
-    run.server_born = 1;
-    stored.tasks.push_back(run);
-    jobs.add_job(record, &stored, milliseconds(0), fleet.shared->now());
+    fleet.add_long_running_task();
     REQUIRE(fleet.server().tasks.size() == 1);
     jobs.remove_server("s", fleet.shared->now());
     fleet.maintain();
@@ -269,3 +286,16 @@
     fleet.server().lease_end = fleet.shared->now();
     CHECK(fleet.run_until([&] { return fleet.machines.orders == 1; }, milliseconds(1'500)));
 }
+
+TEST_CASE("an order is not sent long after the time that its record names", "[manager]")
+{
+    // Guards against orders of two owners within the machine lease: the later one reckons from the
+    // record.
+    fleet_fixture fleet;
+    fleet.store.record_time = milliseconds(1'100);
+    fleet.maintain();
+    fleet.run_for(milliseconds(3'500));
+    CHECK(fleet.machines.orders == 0);
+    fleet.store.record_time = milliseconds(300);
+    CHECK(fleet.run_until([&] { return fleet.machines.orders == 1; }, milliseconds(4'000)));
+}
--- a/tests/manager/order_permission_test.cpp
+++ b/tests/manager/order_permission_test.cpp
@@ -40,6 +40,16 @@
     CHECK_FALSE(may_start_runs({milliseconds(60'000), true, false}));
 }
 
+TEST_CASE("an owner that was paused does not rely on an outage seen before the pause", "[manager]")
+{
+    // Guards against leases that outlast the time after which the next owner repeats their runs.
+    CHECK(may_extend_leases({milliseconds(60'000), true, false, milliseconds(2'400)}));
+    CHECK_FALSE(may_extend_leases({milliseconds(5'000), true, false, milliseconds(5'000)}));
+    const permission_settings values;
+    CHECK(values.outage_age <
+          ownership_settings{}.failure_timeout + scheduler::settings{}.takeover_slack);
+}
+
 TEST_CASE("the suspend-aware clock counts the time in which the machine is suspended", "[manager]")
 {
     const suspend_aware_clock_source clock;
--- a/tests/manager/owner_overload_test.cpp
+++ b/tests/manager/owner_overload_test.cpp
@@ -192,7 +192,7 @@
         backend_server = serve(io, backend, servers);
         shared = std::make_unique<context>(values, io);
         shared->current = std::make_shared<configuration>();
-        session = std::make_shared<owner_session>(*shared, 1, store.version);
+        session = std::make_shared<owner_session>(*shared, 1, store.version, shared->now());
     }
 
     ~overloaded_owner() { session->release("the test is over"); }
--- a/tests/manager/owner_session_test.cpp
+++ b/tests/manager/owner_session_test.cpp
@@ -9,9 +9,11 @@
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace lacewingquay;
@@ -28,6 +30,10 @@
         const std::string target(received.target());
         const bool is_commit = target.find("rows-tx") != std::string::npos;
         commits_started += is_commit ? 1 : 0;
+        if (is_commit)
+        {
+            on_commit();
+        }
         const milliseconds time = is_commit ? commit_time : read_time;
         if (time.count() > 0)
         {
@@ -52,6 +58,8 @@
                 {"rows", boost::json::array{}}, {"row-version", version}, {"now-ms", 1'000}}));
     }
 
+    std::function<void()> on_commit = [] {
+    };
     milliseconds commit_time{0};
     milliseconds read_time{0};
     std::int64_t version = 10;
@@ -79,7 +87,7 @@
         REQUIRE(server != nullptr);
         shared = std::make_unique<context>(values, io);
         shared->current = std::make_shared<configuration>();
-        session = std::make_shared<owner_session>(*shared, 1, store.version);
+        session = std::make_shared<owner_session>(*shared, 1, store.version, shared->now());
         session->start();
     }
 
@@ -148,3 +156,34 @@
     CHECK_FALSE(owner.session->is_loaded());
     CHECK(last_owner_row(store)->released);
 }
+
+TEST_CASE("an answer that waited while the host was paused does not renew its permissions",
+          "[manager]")
+{
+    // Guards against an owner that wakes from a pause and gives orders after its successor.
+    constexpr milliseconds pause{900};
+    slow_store store;
+    new_owner owner(store);
+    owner.run_until([&] { return owner.session->is_loaded(); });
+    const int commits = store.commits_started;
+    store.on_commit = [&]
+    {
+        // The whole process stands still while the call is under way.
+        std::this_thread::sleep_for(pause);
+        store.on_commit = [] {
+        };
+    };
+    const std::int64_t version = owner.session->owner_version();
+    owner.run_until([&] { return owner.session->owner_version() != version; });
+    REQUIRE(store.commits_started == commits + 1);
+    CHECK(owner.session->evidence().confirmed_age >= pause);
+}
+
+TEST_CASE("an owner that was paused during its takeover starts with an old permission", "[manager]")
+{
+    slow_store store;
+    new_owner owner(store);
+    const owner_session late(*owner.shared, 1, store.version,
+                             owner.shared->now() - milliseconds(5'000));
+    CHECK_FALSE(late.may_order_machines());
+}
--- a/tests/manager/waiting_counts_test.cpp
+++ b/tests/manager/waiting_counts_test.cpp
@@ -140,7 +140,7 @@
         config.version = 1;
         config.queues.push_back(tested_queue);
         shared->current = std::make_shared<configuration>(config);
-        shared->update_store_time(store.now);
+        shared->update_store_time(store.now, shared->now());
         callers = std::make_unique<job_api>(*shared);
         callers->start();
     }
