Check each order against the state of its task before it is sent

Cause: orders were planned, stored in a transaction of up to 1.2 s and sent as planned. A gang that was given up meanwhile was started again, and the orders of both runs went out. The same shape was found for cancelled jobs, draining servers, stops of runs that are wanted again, evacuations whose budget is used up, and orders to machines.

Why it works: the check is made in the same step of the event loop in which the first byte is written, so nothing can change between the two but the process being paused; the server's fence and the order's deadline cover that.

--- a/src/manager/fleet_controller.hpp
+++ b/src/manager/fleet_controller.hpp
@@ -95,9 +95,9 @@
     boost::asio::awaitable<void> store_wave(std::int64_t number);
     /// Handles the backend server that ran on the machine when a now confirmed order was sent.
     boost::asio::awaitable<void> apply_confirmed_order(order_kind kind, std::string machine);
-    /// True if the machine's order was recorded a moment ago. To be checked immediately before it is
-    /// sent.
-    [[nodiscard]] bool is_order_due(const std::string& name);
+    /// True if the machine's order is still to be sent: it was recorded a moment ago, and what runs
+    /// on the machine may still be ended. To be checked immediately before it is sent.
+    [[nodiscard]] bool is_order_due(order_kind kind, const std::string& name);
     /// Calls that server to learn whether the order has ended it.
     boost::asio::awaitable<fleet::order_effect> check_former_server(std::string id,
                                                                     std::int64_t born);
--- a/src/manager/fleet_controller_orders.cpp
+++ b/src/manager/fleet_controller_orders.cpp
@@ -252,11 +252,18 @@
     }
 }
 
-bool fleet_controller::is_order_due(const std::string& name)
+bool fleet_controller::is_order_due(order_kind kind, const std::string& name)
 {
     const auto found = machines_.find(name);
-    return found != machines_.end() && found->second.ordered &&
-           shared_.now() - found->second.ordered_at < send_limit;
+    if (found == machines_.end() || !found->second.ordered ||
+        shared_.now() - found->second.ordered_at >= send_limit)
+    {
+        return false;
+    }
+    const scheduler::server_state* server = server_of(name);
+    return server == nullptr ||
+           (kind == order_kind::move ? server->tasks.empty()
+                                     : owner_->job_scheduler().can_interrupt(*server));
 }
 
 boost::asio::awaitable<void> fleet_controller::order(order_kind kind, std::string machine,
@@ -264,9 +271,9 @@
 {
     const std::shared_ptr<fleet_controller> self = shared_from_this();
     adapter::machine_outcome outcome = adapter::machine_outcome::refused;
-    const auto may_send = [self, machine]
+    const auto may_send = [self, kind, machine]
     {
-        return self->owner_->may_order_machines() && self->is_order_due(machine);
+        return self->owner_->may_order_machines() && self->is_order_due(kind, machine);
     };
     if (may_send())
     {
--- a/src/manager/owner_session_orders.cpp
+++ b/src/manager/owner_session_orders.cpp
@@ -76,10 +76,6 @@
 boost::asio::awaitable<void> owner_session::send_starts(std::vector<worker::start_order> orders)
 {
     const std::shared_ptr<owner_session> self = shared_from_this();
-    const auto may_send = [self]
-    {
-        return !self->ended_ && may_start_runs(self->evidence());
-    };
     for (const worker::start_order& order : orders)
     {
         if (ended_)
@@ -88,22 +84,23 @@
         }
         worker::order_outcome outcome = worker::order_outcome::not_sent;
         bool in_doubt = false;
-        bool has_room = true;
+        bool is_due = true;
+        const auto may_send = [&]
+        {
+            is_due = !ended_ && may_start_runs(evidence()) && scheduler_.is_start_due(order) &&
+                     (in_doubt || scheduler_.has_room(order));
+            return is_due;
+        };
         worker::call_failure failure = worker::call_failure::none;
         std::optional<milliseconds> delay;
         for (int attempt = 0; attempt < 2; ++attempt)
         {
-            scheduler::server_state* server = scheduler_.find_server(order.server);
-            if (server == nullptr || server->info.born != order.server_born || !may_send())
+            if (!may_send())
             {
                 break;
             }
-            has_room = in_doubt || scheduler_.has_room(order);
-            if (!has_room)
-            {
-                break;
-            }
-            const milliseconds deadline = scheduler_.grant_lease(*server, shared_.now());
+            scheduler::server_state& server = *scheduler_.find_server(order.server);
+            const milliseconds deadline = scheduler_.grant_lease(server, shared_.now());
             if (deadline.count() == 0)
             {
                 break;
@@ -141,14 +138,14 @@
         {
             outcome = worker::order_outcome::unknown;
         }
-        const bool is_permitted = may_send();
         const bool is_unsent = outcome == worker::order_outcome::not_sent;
         if (is_unsent)
         {
             // First, as a task that was not sent is not responsible for the end of its server.
-            scheduler_.start_answered(order, outcome, shared_.now());
+            scheduler_.start_answered(order, is_due ? outcome : worker::order_outcome::withdrawn,
+                                      shared_.now());
         }
-        if (outcome == worker::order_outcome::unknown || (is_unsent && is_permitted && has_room))
+        if (outcome == worker::order_outcome::unknown || (is_unsent && is_due))
         {
             scheduler_.call_unanswered(order.server, order.server_born, failure, shared_.now());
         }
@@ -185,8 +182,12 @@
 {
     const std::shared_ptr<owner_session> self = shared_from_this();
     ++counters_.stops;
-    const adapter::order_result result =
-        co_await shared_.workers.stop(order, term_, std::min(starts_.timeout(), max_stop_time));
+    const auto may_send = [&]
+    {
+        return !ended_ && scheduler_.is_stop_due(order);
+    };
+    const adapter::order_result result = co_await shared_.workers.stop(
+        order, term_, std::min(starts_.timeout(), max_stop_time), may_send);
     if (ended_)
     {
         co_return;
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -104,6 +104,14 @@
     /// that the order would start more than fits. To be checked immediately before it is sent.
     [[nodiscard]] bool has_room(const worker::start_order& order) const;
 
+    /// True unless the order's task was given up or cancelled after the order was planned, or its
+    /// server takes no new runs any more. To be checked immediately before the order is sent: its
+    /// run may have been replaced by another while the batch was stored.
+    [[nodiscard]] bool is_start_due(const worker::start_order& order);
+
+    /// True if the run is still to be stopped. To be checked immediately before the order is sent.
+    [[nodiscard]] bool is_stop_due(const worker::stop_order& order);
+
     /// Handles the outcome of a start order.
     void start_answered(const worker::start_order& order, worker::order_outcome outcome,
                         steady_time now);
@@ -248,6 +256,8 @@
     [[nodiscard]] bool is_answering(const server_state& server) const;
     [[nodiscard]] bool is_available(const task_state& task) const;
     [[nodiscard]] int unavailable_tasks(const task_ref& ref) const;
+    /// True if a stop of the task is an evacuation, which its disruption budget has to permit.
+    [[nodiscard]] static bool is_evacuation(const task_ref& ref);
     [[nodiscard]] job::progress snapshot(const job_state& job) const;
     void record_run_result(server_state& server, bool failed, steady_time now);
     void check_run_progress(const task_ref& ref, int percent, steady_time now);
--- a/src/scheduler/scheduler_budget.cpp
+++ b/src/scheduler/scheduler_budget.cpp
@@ -47,6 +47,14 @@
     return count;
 }
 
+bool scheduler::is_evacuation(const task_ref& ref)
+{
+    const task_state& task = ref.task();
+    return ref.definition().long_running && !ref.definition().gang &&
+           task.phase == task_phase::running && !task.server->info.draining &&
+           !job::is_final(ref.job->reported_state);
+}
+
 bool scheduler::can_interrupt(const server_state& server) const
 {
     std::map<std::pair<const job_state*, std::size_t>, int> ending;
--- a/src/scheduler/scheduler_reports.cpp
+++ b/src/scheduler/scheduler_reports.cpp
@@ -134,6 +134,41 @@
     return found != servers_.end() && found->second->used.fits_into(found->second->info.capacity);
 }
 
+bool scheduler::is_start_due(const worker::start_order& order)
+{
+    task_ref ref;
+    if (!find_task(order.task, ref))
+    {
+        return false;
+    }
+    const task_state& task = ref.task();
+    // A run may be reported before its start is answered.
+    const bool is_wanted =
+        (task.phase == task_phase::starting || task.phase == task_phase::running) &&
+        task.run == order.run && !task.stop_wanted && !job::is_final(ref.job->reported_state);
+    if (!is_wanted || task.server->info.id != order.server)
+    {
+        return false;
+    }
+    const server_state& server = *task.server;
+    return server.info.born == order.server_born && !server.info.draining && !server.closed;
+}
+
+bool scheduler::is_stop_due(const worker::stop_order& order)
+{
+    task_ref ref;
+    if (find_task(order.task, ref))
+    {
+        const task_state& task = ref.task();
+        if (task.server != nullptr && task.server->info.id == order.server && task.run == order.run)
+        {
+            return task.stop_wanted;
+        }
+    }
+    const auto found = unexpected_runs_.find({order.server, order.task});
+    return found != unexpected_runs_.end() && found->second.run == order.run;
+}
+
 void scheduler::start_answered(const worker::start_order& order, worker::order_outcome outcome,
                                steady_time now)
 {
@@ -171,7 +206,7 @@
                {"server", order.server},
                {"outcome", worker::outcome_name(outcome)}});
     if (outcome != order_outcome::stale_run && outcome != order_outcome::fenced &&
-        outcome != order_outcome::bad_ticket)
+        outcome != order_outcome::bad_ticket && outcome != order_outcome::withdrawn)
     {
         server->avoid_until = std::max(server->avoid_until, now + settings_.refusal_backoff);
     }
@@ -252,6 +287,13 @@
         {
             continue;
         }
+        if (task.stop_sent == steady_time{} && is_evacuation(ref) &&
+            unavailable_tasks(ref) > ref.definition().disruption_budget)
+        {
+            // Other tasks of the step have become unavailable since the stop was decided.
+            task.stop_wanted = false;
+            continue;
+        }
         open.push_back(ref);
         if (now - task.stop_sent < settings_.stop_retry_interval)
         {
--- a/src/worker/model.hpp
+++ b/src/worker/model.hpp
@@ -158,6 +158,8 @@
     malformed,
     /// Nothing was sent.
     not_sent,
+    /// Nothing was sent, as the order was no longer due when its turn came.
+    withdrawn,
     /// No answer: the order may have been executed or may be executed later.
     unknown
 };
@@ -184,6 +186,8 @@
         return "unhealthy";
     case order_outcome::malformed:
         return "malformed";
+    case order_outcome::withdrawn:
+        return "withdrawn";
     case order_outcome::not_sent:
         return "not_sent";
     case order_outcome::unknown:
--- a/tests/manager/fleet_controller_test.cpp
+++ b/tests/manager/fleet_controller_test.cpp
@@ -299,3 +299,22 @@
     fleet.store.record_time = milliseconds(300);
     CHECK(fleet.run_until([&] { return fleet.machines.orders == 1; }, milliseconds(4'000)));
 }
+
+TEST_CASE("a maintenance is not sent once a task that must not be interrupted runs there",
+          "[manager]")
+{
+    // Guards against orders that were planned before their record was stored and are no longer due.
+    fleet_fixture fleet;
+    fleet.store.record_time = milliseconds(50);
+    fleet.store.on_record = [&]
+    {
+        if (fleet.server().tasks.empty())
+        {
+            fleet.add_long_running_task();
+        }
+    };
+    fleet.maintain();
+    REQUIRE(fleet.run_until([&] { return !fleet.server().tasks.empty(); }));
+    fleet.run_for(milliseconds(1'000));
+    CHECK(fleet.machines.orders == 0);
+}
--- a/tests/scheduler/liveness_test.cpp
+++ b/tests/scheduler/liveness_test.cpp
@@ -32,6 +32,7 @@
     server_ends_unregistered,
     server_restarts,
     orders_held,
+    slow_commits,
     count
 };
 
@@ -72,6 +73,7 @@
     rates.owner_killed = rate(fault::owner_kills, 0.01);
     rates.store_answer_lost = rate(fault::store_answers_lost, 0.1);
     rates.store_refuses = rate(fault::store_refusals, 0.3);
+    rates.slow_commit = rate(fault::slow_commits, 0.5);
     return rates;
 }
 
@@ -183,8 +185,7 @@
     rc::prop("random pairs",
              []
              {
-                 const std::uint32_t seed =
-                     *rc::gen::resize(100'000'000, rc::gen::arbitrary<std::uint32_t>());
+                 const std::uint32_t seed = *rc::gen::inRange<std::uint32_t>(0, 1'000'000'000);
                  const int first = *rc::gen::inRange(0, fault_count);
                  const int second = *rc::gen::inRange(0, fault_count);
                  RC_ASSERT(play(seed, first, second) == std::vector<std::string>{});
--- a/tests/scheduler/scheduler_simulation.cpp
+++ b/tests/scheduler/scheduler_simulation.cpp
@@ -1,6 +1,8 @@
 #include "scheduler_simulation.hpp"
 
 #include <algorithm>
+#include <tuple>
+#include <utility>
 
 namespace lacewingquay::test
 {
@@ -265,13 +267,14 @@
     ++starts_;
     run_entry entry;
     entry.run = order.run;
+    entry.started = now_;
     entry.kind = chance(rates_.task_fails) ? worker::end_kind::failed : worker::end_kind::done;
     if (deadly_.contains(order.task))
     {
         entry.crash_at = now_ + milliseconds(50 * (random_() % 21));
     }
-    entry.end_at = step.long_running || deadly_.contains(order.task) ? steady_time::max()
-                                                                     : now_ + step.estimate;
+    const bool has_no_end = step.long_running || step.gang || deadly_.contains(order.task);
+    entry.end_at = has_no_end ? steady_time::max() : now_ + step.estimate;
     server.running[order.task] = entry;
     return order_outcome::accepted;
 }
@@ -371,9 +374,20 @@
     }
 }
 
-void scheduler_simulation::kill_owner()
+void scheduler_simulation::drop_owner()
 {
+    if (transaction_ && random_() % 2 == 0)
+    {
+        write_rows(transaction_->second);
+    }
+    transaction_.reset();
+    waiting_orders_.clear();
     owner_.reset();
+}
+
+void scheduler_simulation::kill_owner()
+{
+    drop_owner();
     handing_over_ = false;
     next_owner_at_ = now_ + takeover_time;
 }
@@ -449,10 +463,58 @@
     }
 }
 
+void scheduler_simulation::advance_gangs()
+{
+    constexpr milliseconds gang_timeout{3'000};
+    struct member
+    {
+        fake_server* server = nullptr;
+        worker::task_name task;
+    };
+    std::map<std::tuple<std::string, int, int>, std::vector<member>> gangs;
+    for (auto& entry : servers_)
+    {
+        for (const auto& running : entry.second.running)
+        {
+            const worker::task_name& task = running.first;
+            const job::record& record = jobs_.at(task.job);
+            if (record.work.steps[static_cast<std::size_t>(task.position.step)].gang)
+            {
+                gangs[{task.job, task.position.step, running.second.run}].push_back(
+                    {&entry.second, task});
+            }
+        }
+    }
+    for (const auto& gang : gangs)
+    {
+        const job::step& step = jobs_.at(std::get<0>(gang.first))
+                                    .work.steps[static_cast<std::size_t>(std::get<1>(gang.first))];
+        const bool is_complete = static_cast<int>(gang.second.size()) == step.count;
+        for (const member& one : gang.second)
+        {
+            run_entry& run = one.server->running.at(one.task);
+            if (is_complete && !run.is_gang_complete)
+            {
+                run.is_gang_complete = true;
+                run.end_at = now_ + step.estimate;
+            }
+            else if (!is_complete && run.is_gang_complete)
+            {
+                end_run(*one.server, one.task, worker::end_kind::broken);
+            }
+            else if (!is_complete && now_ - run.started > gang_timeout)
+            {
+                end_run(*one.server, one.task, worker::end_kind::alone);
+            }
+        }
+    }
+}
+
 void scheduler_simulation::advance_servers()
 {
     crash_servers();
     replace_servers();
+    advance_gangs();
     for (auto& entry : servers_)
     {
         fake_server& server = entry.second;
@@ -546,6 +608,18 @@
     {
         return;
     }
+    const bool is_due = bug_ == injected_bug::orders_not_checked
+                            ? server->info.born == order.server_born
+                            : owner_->is_start_due(order);
+    if (!is_due)
+    {
+        owner_->start_answered(order, order_outcome::withdrawn, now_);
+        return;
+    }
+    if (cancelled_.contains(order.task.job))
+    {
+        record_violation("start order for a cancelled job: " + order.task.job);
+    }
     const milliseconds granted = owner_->grant_lease(*server, now_);
     if (granted.count() == 0 || !owner_->has_room(order))
     {
@@ -639,12 +713,28 @@
 
 void scheduler_simulation::commit()
 {
-    const scheduler::batch work = owner_->prepare(now_, 90);
-    if (is_store_away() || chance(rates_.store_refuses))
+    if (transaction_)
     {
-        owner_->not_stored(work);
+        if (transaction_->first <= now_)
+        {
+            const scheduler::batch work = std::move(transaction_->second);
+            transaction_.reset();
+            finish_commit(work);
+        }
         return;
     }
+    scheduler::batch work = owner_->prepare(now_, 90);
+    if (chance(rates_.slow_commit))
+    {
+        const milliseconds time(std::uniform_int_distribution<int>(50, 1'500)(random_));
+        transaction_.emplace(now_ + time, std::move(work));
+        return;
+    }
+    finish_commit(work);
+}
+
+void scheduler_simulation::write_rows(const scheduler::batch& work)
+{
     for (const scheduler::progress_write& write : work.writes)
     {
         progress_[write.job] = write.text;
@@ -664,6 +754,16 @@
             }
         }
     }
+}
+
+void scheduler_simulation::finish_commit(const scheduler::batch& work)
+{
+    if (is_store_away() || chance(rates_.store_refuses))
+    {
+        owner_->not_stored(work);
+        return;
+    }
+    write_rows(work);
     if (chance(rates_.store_answer_lost))
     {
         owner_->not_stored(work);
@@ -673,11 +773,34 @@
     if (handing_over_ && (!work.starts.empty() || now_ >= hand_over_by_))
     {
         handing_over_ = false;
-        owner_.reset();
+        drop_owner();
         next_owner_at_ = now_ + handover_time;
         return;
     }
     for (const worker::start_order& order : work.starts)
+    {
+        const bool waits = chance(rates_.slow_commit);
+        waiting_orders_.emplace_back(
+            waits ? now_ + milliseconds(std::uniform_int_distribution<int>(50, 600)(random_))
+                  : now_,
+            order);
+    }
+    send_waiting_orders();
+}
+
+void scheduler_simulation::send_waiting_orders()
+{
+    std::vector<worker::start_order> due;
+    std::erase_if(waiting_orders_,
+                  [&](const std::pair<steady_time, worker::start_order>& entry)
+                  {
+                      if (entry.first <= now_)
+                      {
+                          due.push_back(entry.second);
+                      }
+                      return entry.first <= now_;
+                  });
+    for (const worker::start_order& order : due)
     {
         send(order);
     }
@@ -720,6 +843,7 @@
     {
         owner_->stop_answered(order, stop(order, term_), now_);
     }
+    send_waiting_orders();
     commit();
     if (owner_)
     {
--- a/tests/scheduler/scheduler_simulation.hpp
+++ b/tests/scheduler/scheduler_simulation.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -31,7 +32,9 @@
     /// A new owner immediately repeats the runs of servers that it cannot reach.
     takeover_without_waiting,
     /// A new owner does not know which tasks have crashed servers.
-    crashes_not_stored
+    crashes_not_stored,
+    /// Start orders are sent as planned, whatever has changed since.
+    orders_not_checked
 };
 
 /// Probabilities of faults, for each order or each step of 50 ms.
@@ -45,6 +48,8 @@
     double owner_killed = 0.0;
     double store_answer_lost = 0.0;
     double store_refuses = 0.0;
+    /// A commit takes up to 1.5 s, and its orders wait up to 0.6 s more before they are sent.
+    double slow_commit = 0.0;
 };
 
 /// Simulates backend servers, a store and successive owners in simulated time. Checks on every
@@ -136,6 +141,9 @@
         std::string job;
         /// When it crashes the server.
         steady_time crash_at = steady_time::max();
+        steady_time started{};
+        /// For a task of a gang: all of its tasks are present, or were.
+        bool is_gang_complete = false;
     };
 
     struct fake_server
@@ -177,8 +185,15 @@
 
     void take_over();
     void commit();
+    void write_rows(const scheduler::batch& work);
+    void finish_commit(const scheduler::batch& work);
+    void send_waiting_orders();
+    /// Drops what the owner's process had under way; the store may perform its transaction.
+    void drop_owner();
     void poll_servers();
     void advance_servers();
+    /// Starts the work of gangs that are complete, and ends the runs of those that are not.
+    void advance_gangs();
     void crash_servers();
     void replace_servers();
     void renew_registrations();
@@ -227,6 +242,10 @@
     std::set<std::string> begun_;
     std::set<std::string> known_to_owner_;
     std::vector<delayed_start> delayed_starts_;
+    /// A transaction under way, which is performed at that time.
+    std::optional<std::pair<steady_time, scheduler::batch>> transaction_;
+    /// Stored start orders and when they are sent.
+    std::vector<std::pair<steady_time, worker::start_order>> waiting_orders_;
     /// Time and server of each end as done.
     std::map<worker::task_name, std::pair<steady_time, std::string>> done_;
     /// Tasks whose end as done the owner has acknowledged.
