--- a/src/job/progress.cpp
+++ b/src/job/progress.cpp
@@ -22,6 +22,8 @@
 constexpr std::string_view empty_text = "-";
 /// Marks the machine of the run behind the crash history.
 constexpr char machine_mark = '@';
+/// Separates the job's id from the number of a further row.
+constexpr char row_mark = '/';
 
 /// Removes the next field up to `separator` from `text` and returns it.
 std::string_view take_field(std::string_view& text, char separator)
@@ -168,6 +170,20 @@
     return task.position.occurrence >= 0 && task.position.step >= 0 && task.position.index >= 0;
 }
 
+void append_task(const task_progress& task, std::string& text)
+{
+    text += std::to_string(task.position.occurrence) + '.' + std::to_string(task.position.step) +
+            '.' + std::to_string(task.position.index);
+    text += task.done ? " 1 " : " 0 ";
+    text += std::to_string(task.run) + ' ' + std::to_string(task.failures) + ' ' +
+            std::to_string(task.failed_run) + ' ';
+    text += task.server.empty() ? empty_text : std::string_view(task.server);
+    text += ' ' + std::to_string(task.server_born);
+    append_crashes(task, text);
+    text += ' ';
+    text += task.checkpoint.empty() ? empty_text : std::string_view(task.checkpoint);
+}
+
 /// True if the stored progress of a task shows that one of its runs has begun. A run number alone
 /// does not, as it is stored before the start order is sent.
 bool has_begun(const task_progress& task)
@@ -211,26 +227,83 @@
     for (const task_progress& task : value.tasks)
     {
         text += '\n';
-        text += std::to_string(task.position.occurrence) + '.' +
-                std::to_string(task.position.step) + '.' + std::to_string(task.position.index);
-        text += task.done ? " 1 " : " 0 ";
-        text += std::to_string(task.run) + ' ' + std::to_string(task.failures) + ' ' +
-                std::to_string(task.failed_run) + ' ';
-        text += task.server.empty() ? empty_text : std::string_view(task.server);
-        text += ' ' + std::to_string(task.server_born);
-        append_crashes(task, text);
-        text += ' ';
-        text += task.checkpoint.empty() ? empty_text : std::string_view(task.checkpoint);
+        append_task(task, text);
     }
     return text;
 }
 
+std::string serialize_tasks(std::span<const task_progress> tasks)
+{
+    std::string text;
+    for (const task_progress& task : tasks)
+    {
+        text += text.empty() ? "" : "\n";
+        append_task(task, text);
+    }
+    return text;
+}
+
+bool fit_line(task_progress& task, std::size_t limit)
+{
+    const auto fits = [&]
+    {
+        std::string line;
+        append_task(task, line);
+        return line.size() <= limit;
+    };
+    if (fits())
+    {
+        return true;
+    }
+    task.crashes.suspicions.clear();
+    if (!fits())
+    {
+        task.checkpoint.clear();
+    }
+    return false;
+}
+
+std::string progress_key(std::string_view job, std::int64_t row)
+{
+    std::string key(job);
+    if (row > 0)
+    {
+        key += row_mark;
+        key += std::to_string(row);
+    }
+    return key;
+}
+
+std::pair<std::string, std::int64_t> parse_progress_key(std::string_view key)
+{
+    const std::string job(take_field(key, row_mark));
+    std::int64_t row = 0;
+    return {job, take_number(key, row_mark, row) ? row : 0};
+}
+
 boost::leaf::result<state> parse_progress_state(std::string_view text)
 {
     std::string_view line = take_field(text, '\n');
     return parse_state(take_field(line, ' '));
 }
 
+boost::leaf::result<std::vector<task_progress>> parse_tasks(std::string_view text)
+{
+    std::vector<task_progress> tasks;
+    while (!text.empty())
+    {
+        const std::string_view line = take_field(text, '\n');
+        task_progress task;
+        if (!parse_task(line, task))
+        {
+            return boost::leaf::new_error(
+                input_error{"progress", std::string(line.substr(0, 200)), "a task's progress"});
+        }
+        tasks.push_back(std::move(task));
+    }
+    return tasks;
+}
+
 boost::leaf::result<progress> parse_progress(std::string_view text)
 {
     progress result;
@@ -251,17 +324,7 @@
         return boost::leaf::new_error(
             input_error{"progress", std::string(header), "whether a task has begun"});
     }
-    while (!text.empty())
-    {
-        const std::string_view line = take_field(text, '\n');
-        task_progress task;
-        if (!parse_task(line, task))
-        {
-            return boost::leaf::new_error(
-                input_error{"progress", std::string(line.substr(0, 200)), "a task's progress"});
-        }
-        result.tasks.push_back(std::move(task));
-    }
+    BOOST_LEAF_ASSIGN(result.tasks, parse_tasks(text));
     result.begun =
         has_field ? begun != 0 : std::any_of(result.tasks.begin(), result.tasks.end(), has_begun);
     return result;
--- a/src/job/progress.hpp
+++ b/src/job/progress.hpp
@@ -5,10 +5,13 @@
 
 #include <boost/leaf.hpp>
 
+#include <cstddef>
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace lacewingquay::job
@@ -97,6 +100,8 @@
     /// A run of one of its tasks is known to have begun.
     bool begun = false;
     std::vector<task_progress> tasks;
+    /// Numbers of the rows behind the first, from 1, from which tasks were read.
+    std::vector<std::int64_t> further_rows{};
 
     friend bool operator==(const progress&, const progress&) = default;
 };
@@ -104,14 +109,31 @@
 [[nodiscard]] std::string_view state_name(state value);
 [[nodiscard]] boost::leaf::result<state> parse_state(std::string_view text);
 
-/// Returns the text of a progress row: a line for the job, then a line for each task. A task's
-/// crash history and the machine of its server follow the start of its server, separated by
-/// slashes, if there are any.
+/// Returns the text of a job's first progress row: a line for the job, then a line for each task. A
+/// task's crash history and the machine of its server follow the start of its server, separated by
+/// slashes, if there are any. A job with many tasks has further rows, which `serialize_tasks`
+/// returns.
 [[nodiscard]] std::string serialize_progress(const progress& value);
 
+/// Returns the text of a further progress row: a line for each task.
+[[nodiscard]] std::string serialize_tasks(std::span<const task_progress> tasks);
+
+/// Shortens what is stored of a task so that its line has at most `limit` bytes: without its
+/// suspected crashes, then without its checkpoint. Returns false if that was necessary.
+bool fit_line(task_progress& task, std::size_t limit);
+
+/// Key of a progress row of a job: the job's id, with the number of a further row.
+[[nodiscard]] std::string progress_key(std::string_view job, std::int64_t row);
+
+/// The inverse of `progress_key`: the job's id and the number of the row, 0 for the first.
+[[nodiscard]] std::pair<std::string, std::int64_t> parse_progress_key(std::string_view key);
+
 /// Parses the text of `serialize_progress`; fails with an `input_error` that quotes the line.
 [[nodiscard]] boost::leaf::result<progress> parse_progress(std::string_view text);
 
+/// Parses the text of `serialize_tasks`; fails with an `input_error` that quotes the line.
+[[nodiscard]] boost::leaf::result<std::vector<task_progress>> parse_tasks(std::string_view text);
+
 /// Parses the job state only, without the tasks.
 [[nodiscard]] boost::leaf::result<state> parse_progress_state(std::string_view text);
 
--- a/src/manager/fleet_controller.hpp
+++ b/src/manager/fleet_controller.hpp
@@ -90,6 +90,10 @@
     /// Stores the machines with recent orders, on condition that this host is still the owner.
     boost::asio::awaitable<bool> store_orders();
     boost::asio::awaitable<void> send_planned_orders();
+    /// Drops planned orders that the stored record has no room for; they are planned again.
+    void limit_planned_orders();
+    /// How long an order is part of the record.
+    [[nodiscard]] milliseconds order_memory() const;
     boost::asio::awaitable<void> order(order_kind kind, std::string machine, std::string pool,
                                        std::int64_t wave);
     boost::asio::awaitable<void> store_wave(std::int64_t number);
--- a/src/manager/fleet_controller_orders.cpp
+++ b/src/manager/fleet_controller_orders.cpp
@@ -78,8 +78,7 @@
         boost::system::error_code error;
         const std::int64_t at = entry.value().to_number<std::int64_t>(error);
         const milliseconds age = error ? milliseconds(0) : shared_.store_time() - milliseconds(at);
-        reserved_until_[entry.key()] =
-            shared_.now() - age + send_limit + shared_.config.machine_lease + takeover_margin;
+        reserved_until_[entry.key()] = shared_.now() - age + order_memory();
     }
     co_return true;
 }
@@ -100,7 +99,7 @@
     {
         const milliseconds age =
             std::chrono::duration_cast<milliseconds>(shared_.now() - entry.second.ordered_at);
-        if (age < send_limit + shared_.config.machine_lease + takeover_margin)
+        if (age < order_memory())
         {
             body[entry.first] = (shared_.store_time() - age).count();
         }
@@ -114,12 +113,38 @@
     co_return result.outcome == adapter::commit_outcome::done;
 }
 
+void fleet_controller::limit_planned_orders()
+{
+    // Punctuation and the time.
+    constexpr std::size_t entry_overhead = 24;
+    std::size_t bytes = entry_overhead;
+    for (const auto& entry : machines_)
+    {
+        const bool is_recent = shared_.now() - entry.second.ordered_at < order_memory();
+        bytes += is_recent ? entry.first.size() + entry_overhead : 0;
+    }
+    while (bytes > shared_.config.max_row_bytes && !planned_orders_.empty())
+    {
+        bytes -= planned_orders_.back().size() + entry_overhead;
+        const std::string name = planned_orders_.back();
+        planned_orders_.pop_back();
+        cancel_order(name);
+        machines_[name].ordered_at = {};
+    }
+}
+
+milliseconds fleet_controller::order_memory() const
+{
+    return send_limit + shared_.config.machine_lease + takeover_margin;
+}
+
 boost::asio::awaitable<void> fleet_controller::send_planned_orders()
 {
     if (planned_orders_.empty())
     {
         co_return;
     }
+    limit_planned_orders();
     // A concurrent renewal of the owner's row makes this transaction conflict, hence the retries.
     constexpr int attempts = 3;
     bool stored = false;
@@ -384,8 +409,17 @@
         co_return;
     }
     boost::json::array done;
+    // The state besides the names. Repeating the order for a machine that is left out has no
+    // effect.
+    constexpr std::size_t reserved = 64;
+    std::size_t bytes = reserved;
     for (const std::string& machine : wave.done)
     {
+        bytes += boost::json::serialize(boost::json::string(machine)).size() + 1;
+        if (bytes > shared_.config.max_row_bytes)
+        {
+            break;
+        }
         done.emplace_back(machine);
     }
     const milliseconds started_at = shared_.store_time() - std::chrono::duration_cast<milliseconds>(
--- a/src/manager/job_api.cpp
+++ b/src/manager/job_api.cpp
@@ -26,8 +26,6 @@
 
 /// Number of hexadecimal digits in a job id, set by the platform.
 constexpr std::size_t id_length = 16;
-/// Largest row in bytes that the store accepts.
-constexpr std::size_t max_row_bytes = 65'536;
 /// Used for requests without a Deadline-Ms header.
 constexpr milliseconds default_request_timeout{3'000};
 /// Part of the caller's deadline reserved for the response to arrive.
@@ -36,6 +34,8 @@
 constexpr int outage_retry_seconds = 2;
 /// Most rows in one transaction; each new job takes a condition and a write.
 constexpr std::size_t max_batch = 45;
+/// What a transaction contains besides its rows, in bytes.
+constexpr std::size_t transaction_overhead = 200;
 
 http::response error_response(http::status code, std::string_view error, int retry_after_seconds)
 {
@@ -200,7 +200,7 @@
                                  round_up_to_seconds(admission.retry_after));
     }
     std::string value = job::serialize_record({queue, shared_.store_time()}, body);
-    if (value.size() > max_row_bytes)
+    if (value.size() > shared_.config.max_row_bytes)
     {
         co_return error_response(http::status::payload_too_large,
                                  "the job is too large to be stored", 0);
@@ -220,6 +220,11 @@
         log_event(log_level::info, "job_accepted", {{"job", id}, {"queue", queue.name}});
         co_return http::make_response(http::status::ok, "{}");
     }
+    if (outcome == adapter::commit_outcome::rejected)
+    {
+        log_event(log_level::error, "job_rejected", {{"job", id}, {"queue", queue.name}});
+        co_return error_response(http::status::bad_request, "the store does not accept the job", 0);
+    }
     const bool is_uncertain = outcome == adapter::commit_outcome::unknown;
     log_event(
         log_level::warning, is_uncertain ? "job_uncertain" : "job_refused",
@@ -368,9 +373,11 @@
             continue;
         }
         entry->in_doubt = entry->in_doubt || result.outcome == commit_outcome::unknown;
-        if (result.outcome == commit_outcome::refused && !entry->in_doubt)
+        const bool is_refused = result.outcome == commit_outcome::refused ||
+                                (result.outcome == commit_outcome::rejected && batch.size() == 1);
+        if (is_refused && !entry->in_doubt)
         {
-            complete(*entry, commit_outcome::refused);
+            complete(*entry, result.outcome);
         }
         else if (now >= entry->deadline)
         {
@@ -397,11 +404,19 @@
         }
         std::vector<std::shared_ptr<pending_write>> batch;
         adapter::transaction work;
-        const std::size_t count = std::min(from.pending.size(), max_batch);
+        const std::size_t count =
+            std::min(from.pending.size(), from.stored_alone > 0 ? 1 : max_batch);
         milliseconds timeout = commit_timeout;
+        std::size_t bytes = transaction_overhead;
         for (std::size_t index = 0; index < count; ++index)
         {
             const std::shared_ptr<pending_write>& entry = from.pending[index];
+            const adapter::row_write write{std::string(jobs_table), entry->key, entry->value};
+            bytes += adapter::encoded_size(write);
+            if (bytes > adapter::max_transaction_bytes && !batch.empty())
+            {
+                break;
+            }
             if (std::any_of(batch.begin(), batch.end(),
                             [&](const std::shared_ptr<pending_write>& other)
                             { return other->key == entry->key; }))
@@ -414,7 +429,7 @@
             {
                 work.conditions.push_back({std::string(jobs_table), entry->key, 0});
             }
-            work.writes.push_back({std::string(jobs_table), entry->key, entry->value});
+            work.writes.push_back(write);
             timeout = std::min(timeout,
                                std::max(milliseconds(50), std::chrono::duration_cast<milliseconds>(
                                                               entry->deadline - shared_.now())));
@@ -423,7 +438,13 @@
                       { return std::find(batch.begin(), batch.end(), entry) != batch.end(); });
         const adapter::commit_result result = co_await shared_.store.commit(work, timeout);
         shared_.update_store_time(result.store_time, result.requested_at);
+        // Rows that the store rejects are told from the others by storing each alone.
+        const bool is_rejected = result.outcome == adapter::commit_outcome::rejected;
+        const std::size_t tried = batch.size();
         apply_commit_result(from, batch, result);
+        from.stored_alone = is_rejected && tried > 1
+                                ? from.pending.size()
+                                : from.stored_alone - std::min<std::size_t>(from.stored_alone, 1);
         if (result.outcome == adapter::commit_outcome::unknown ||
             result.outcome == adapter::commit_outcome::refused)
         {
--- a/src/manager/job_api.hpp
+++ b/src/manager/job_api.hpp
@@ -59,6 +59,8 @@
     {
         std::vector<std::shared_ptr<pending_write>> pending;
         std::unique_ptr<boost::asio::steady_timer> wake;
+        /// The next transactions, this many, store one row each.
+        std::size_t stored_alone = 0;
     };
 
     boost::asio::awaitable<adapter::commit_outcome> store_row(std::string key, std::string value,
--- a/src/manager/load_summary.cpp
+++ b/src/manager/load_summary.cpp
@@ -12,8 +12,12 @@
 namespace lacewingquay::manager
 {
 
-std::string serialize_load(const load_summary& value)
+std::string serialize_load(const load_summary& value, std::size_t max_bytes)
 {
+    // The fields besides the lists.
+    constexpr std::size_t reserved = 200;
+    max_bytes = std::min(max_bytes, max_load_bytes);
+    std::size_t pool_bytes = reserved;
     std::vector<std::pair<std::int64_t, std::string_view>> counts;
     for (const auto& entry : value.load.waiting)
     {
@@ -32,6 +36,12 @@
                                     {"cpu", level.second.cpu},
                                     {"useful_drain_ms", level.second.useful_drain.count()}});
         }
+        pool_bytes += boost::json::serialize(levels).size() +
+                      boost::json::serialize(boost::json::string(entry.first)).size() + 2;
+        if (pool_bytes > max_bytes)
+        {
+            break;
+        }
         pools[entry.first] = std::move(levels);
     }
     boost::json::object row{{"covered_version", value.covered_version},
@@ -47,7 +57,7 @@
         const std::string name = boost::json::serialize(boost::json::string(entry.second));
         // A colon and a comma.
         bytes += name.size() + std::to_string(entry.first).size() + 2;
-        if (bytes > max_load_bytes)
+        if (bytes > max_bytes)
         {
             waiting_complete = false;
             break;
--- a/src/manager/load_summary.hpp
+++ b/src/manager/load_summary.hpp
@@ -27,11 +27,12 @@
     bool waiting_complete = true;
 };
 
-/// Longest text of a load summary; rows of the store have at most 64 KiB. The queues with the most
-/// waiting jobs are listed first.
+/// Longest text of a load summary. The queues with the most waiting jobs are listed first.
 inline constexpr std::size_t max_load_bytes = 60'000;
 
-[[nodiscard]] std::string serialize_load(const load_summary& value);
+/// Returns the text of at most `max_bytes` bytes; queues, then pools, that do not fit are left out.
+[[nodiscard]] std::string serialize_load(const load_summary& value,
+                                         std::size_t max_bytes = max_load_bytes);
 [[nodiscard]] boost::leaf::result<load_summary> parse_load(std::string_view text);
 
 /// The latest load known to this host. The owner stores a summary with each renewal of its
--- a/src/manager/owner_session.cpp
+++ b/src/manager/owner_session.cpp
@@ -29,7 +29,10 @@
 constexpr milliseconds max_round_interval{100};
 /// Progress rows in one transaction; the other entries are its condition, the owner's rows and the
 /// removals of expired jobs.
-constexpr std::size_t max_progress_rows = 90;
+constexpr std::size_t max_progress_rows = 80;
+/// Removals of progress rows in one transaction.
+constexpr std::size_t max_progress_removals = 15;
+static_assert(max_progress_rows + max_progress_removals + 3 <= adapter::max_transaction_entries);
 /// Pause between reads of new jobs, so that jobs that arrive together are read together.
 constexpr milliseconds jobs_read_interval{5};
 /// Bound of one long poll for new jobs. Without new jobs, the counts of waiting jobs that hosts
@@ -45,6 +48,7 @@
 {
     scheduler::settings result;
     result.lease = std::min(result.lease, values.max_lease);
+    result.max_row_bytes = std::min(values.max_row_bytes, result.max_batch_bytes);
     return result;
 }
 
@@ -54,7 +58,8 @@
                              steady_time confirmed_at)
     : shared_(shared), scheduler_(scheduler_settings(shared.config)), term_(term),
       owner_version_(owner_version), last_renewal_(confirmed_at), confirmed_at_(confirmed_at),
-      wake_timer_(shared.io.get_executor()), starts_(window_for(shared.config.resources))
+      wake_timer_(shared.io.get_executor()), progress_rows_(max_progress_rows),
+      starts_(window_for(shared.config.resources))
 {
 }
 
@@ -181,15 +186,49 @@
         shared_.io, [self] { return self->follow_servers(); }, boost::asio::detached);
 }
 
-void owner_session::apply_job(const adapter::row& row)
+std::optional<job::progress> owner_session::read_progress(const std::string& id)
 {
-    const std::string id = row.key.substr(job_prefix.size());
     std::optional<job::progress> stored;
-    const auto found = stored_progress_.find(id);
-    if (found != stored_progress_.end())
+    const auto first = stored_progress_.find(id);
+    if (first != stored_progress_.end())
     {
-        stored = parse_or_log("progress_unreadable", id, found->second.version,
-                              [&] { return job::parse_progress(found->second.value); });
+        stored = parse_or_log("progress_unreadable", id, first->second.version,
+                              [&] { return job::parse_progress(first->second.value); });
+    }
+    const std::string prefix = job::progress_key(id, 1).substr(0, id.size() + 1);
+    for (auto entry = stored_progress_.lower_bound(prefix);
+         entry != stored_progress_.end() && entry->first.starts_with(prefix); ++entry)
+    {
+        const std::optional<std::vector<job::task_progress>> tasks =
+            parse_or_log("progress_unreadable", entry->first, entry->second.version,
+                         [&] { return job::parse_tasks(entry->second.value); });
+        if (!tasks)
+        {
+            continue;
+        }
+        // The first row may be stored after the others.
+        stored = stored ? std::move(stored) : job::progress{};
+        stored->tasks.insert(stored->tasks.end(), tasks->begin(), tasks->end());
+        stored->further_rows.push_back(job::parse_progress_key(entry->first).second);
+    }
+    return stored;
+}
+
+void owner_session::apply_job(const adapter::row& row)
+{
+    const std::string id = row.key.substr(job_prefix.size());
+    const std::optional<job::progress> stored = read_progress(id);
+    const bool has_ended =
+        stored && job::is_final(stored->reported_state) &&
+        std::all_of(stored->tasks.begin(), stored->tasks.end(),
+                    [](const job::task_progress& task) { return task.server.empty(); });
+    if (has_ended)
+    {
+        // A former owner has not removed them.
+        for (const std::int64_t number : stored->further_rows)
+        {
+            progress_to_remove_.push_back(job::progress_key(id, number));
+        }
     }
     if (row.value.empty())
     {
@@ -289,21 +328,29 @@
 }
 
 adapter::transaction owner_session::make_transaction(const scheduler::batch& work, bool renew,
-                                                     const std::vector<std::string>& expired) const
+                                                     std::span<const std::string> expired) const
 {
     adapter::transaction result;
     result.conditions.push_back({std::string(owner_table), std::string(owner_key), owner_version_});
     for (const scheduler::progress_write& write : work.writes)
     {
-        result.writes.push_back({std::string(progress_table), write.job, write.text});
+        std::string key = job::progress_key(write.job, write.row);
+        if (write.text.empty())
+        {
+            result.removals.push_back({std::string(progress_table), std::move(key)});
+        }
+        else
+        {
+            result.writes.push_back({std::string(progress_table), std::move(key), write.text});
+        }
     }
     if (renew)
     {
         result.writes.push_back(
             {std::string(owner_table), std::string(owner_key),
              serialize_owner({shared_.config.host, term_, releasing_, shared_.store_time()})});
-        result.writes.push_back(
-            {std::string(owner_table), std::string(load_key), serialize_load(current_load())});
+        result.writes.push_back({std::string(owner_table), std::string(load_key),
+                                 serialize_load(current_load(), shared_.config.max_row_bytes)});
     }
     for (const std::string& id : expired)
     {
@@ -330,7 +377,10 @@
         }
         for (const scheduler::progress_write& write : work.writes)
         {
-            shared_.jobs.update(write.job, write.reported_state, result.version);
+            if (write.row == 0)
+            {
+                shared_.jobs.update(write.job, write.reported_state, result.version);
+            }
             if (write.ended)
             {
                 shared_.daemon_metrics.observe_job(job::state_name(write.reported_state),
@@ -340,7 +390,14 @@
         scheduler_.stored(work, now);
         return true;
     }
-    scheduler_.not_stored(work);
+    if (result.outcome == commit_outcome::rejected)
+    {
+        scheduler_.rejected(work, now);
+    }
+    else
+    {
+        scheduler_.not_stored(work);
+    }
     if (result.outcome == commit_outcome::unknown)
     {
         commit_in_doubt_ = true;
@@ -372,6 +429,28 @@
     end("another host has taken over");
 }
 
+void owner_session::adapt_batches(const scheduler::batch& work, adapter::commit_outcome outcome)
+{
+    if (outcome == adapter::commit_outcome::rejected)
+    {
+        progress_rows_ = std::max<std::size_t>(1, work.writes.size() / 2);
+    }
+    else if (outcome == adapter::commit_outcome::done && !work.writes.empty())
+    {
+        progress_rows_ = std::min(max_progress_rows, progress_rows_ * 2);
+    }
+}
+
+std::vector<std::string> owner_session::take_progress_to_remove()
+{
+    const auto end =
+        progress_to_remove_.begin() +
+        static_cast<std::ptrdiff_t>(std::min(max_progress_removals, progress_to_remove_.size()));
+    std::vector<std::string> keys(progress_to_remove_.begin(), end);
+    progress_to_remove_.erase(progress_to_remove_.begin(), end);
+    return keys;
+}
+
 boost::asio::awaitable<void> owner_session::commit_loop()
 {
     const std::shared_ptr<owner_session> self = shared_from_this();
@@ -388,8 +467,12 @@
                 { return self->send_stop(std::move(stop)); },
                 boost::asio::detached);
         }
+        const bool renew = commit_in_doubt_ || releasing_ || now - last_renewal_ >= timing.renewal;
         const std::size_t max_starts = starts_.available();
-        const scheduler::batch work = scheduler_.prepare(now, max_progress_rows, max_starts);
+        // While the store rejects transactions, the ownership is renewed by others.
+        const bool renew_alone = renew && progress_rows_ < max_progress_rows;
+        const scheduler::batch work =
+            renew_alone ? scheduler::batch{} : scheduler_.prepare(now, progress_rows_, max_starts);
         starts_exhausted_ = work.starts.size() >= max_starts;
         for (scheduler::advice_request& request : scheduler_.take_advice_requests())
         {
@@ -401,12 +484,11 @@
             boost::asio::co_spawn(
                 shared_.io, [self] { return self->request_advice(); }, boost::asio::detached);
         }
-        const bool renew = commit_in_doubt_ || releasing_ || now - last_renewal_ >= timing.renewal;
         if (!work.writes.empty() || renew)
         {
             // A release that is requested during the commit is stored by the next one.
             const bool is_release = releasing_;
-            const std::vector<std::string> expired = std::exchange(progress_to_remove_, {});
+            const std::vector<std::string> expired = take_progress_to_remove();
             const adapter::commit_result result = co_await shared_.store.commit(
                 make_transaction(work, renew, expired), commit_timeout);
             if (ended_)
@@ -414,6 +496,12 @@
                 co_return;
             }
             const bool done = apply_commit_result(work, result, renew);
+            adapt_batches(work, result.outcome);
+            if (!done)
+            {
+                progress_to_remove_.insert(progress_to_remove_.end(), expired.begin(),
+                                           expired.end());
+            }
             if (done && is_release)
             {
                 end("released");
--- a/src/manager/owner_session.hpp
+++ b/src/manager/owner_session.hpp
@@ -17,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -101,11 +102,18 @@
     void apply_servers(const std::vector<adapter::row>& rows, bool is_snapshot);
     void apply_jobs(const std::vector<adapter::row>& rows);
     void apply_job(const adapter::row& row);
+    /// The stored progress of a job, from all of its rows; nothing if there is none.
+    [[nodiscard]] std::optional<job::progress> read_progress(const std::string& id);
     void start_scheduling();
     void send_orders(const scheduler::batch& work);
     [[nodiscard]] load_summary current_load() const;
+    /// `expired` are keys of progress rows to be removed.
     adapter::transaction make_transaction(const scheduler::batch& work, bool renew,
-                                          const std::vector<std::string>& expired) const;
+                                          std::span<const std::string> expired) const;
+    /// Adapts the size of batches to a transaction's result.
+    void adapt_batches(const scheduler::batch& work, adapter::commit_outcome outcome);
+    /// Takes keys from `progress_to_remove_`, as many as fit beside a batch.
+    [[nodiscard]] std::vector<std::string> take_progress_to_remove();
     bool apply_commit_result(const scheduler::batch& work, const adapter::commit_result& result,
                              bool renewed);
     /// Handles a commit whose condition on the owner's row did not hold.
@@ -137,8 +145,12 @@
     /// Requests to the advice service that have not been sent yet.
     std::deque<scheduler::advice_request> advice_requests_;
     bool advice_in_progress_ = false;
-    /// Jobs whose rows are removed; their progress rows go with the next transaction.
+    /// Keys of progress rows whose jobs no longer need them; they are removed with the next
+    /// transactions.
     std::vector<std::string> progress_to_remove_;
+    /// Progress rows in one transaction. Reduced while the store rejects transactions, until those
+    /// that it accepts are apart from those that it does not.
+    std::size_t progress_rows_;
     /// Start orders under way.
     send_window starts_;
     /// More start orders may be waiting for `starts_` to permit them.
--- a/src/manager/settings.hpp
+++ b/src/manager/settings.hpp
@@ -4,6 +4,7 @@
 #include "manager/ownership.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -40,6 +41,8 @@
     milliseconds result_retention{120'000};
     /// Least time between the orders of two owners for one machine.
     milliseconds machine_lease{3'000};
+    /// Largest value of a row that the store accepts, in bytes.
+    std::size_t max_row_bytes = 65'536;
 };
 
 } // namespace lacewingquay::manager
--- a/src/manager/waiting_counts.cpp
+++ b/src/manager/waiting_counts.cpp
@@ -50,6 +50,10 @@
 {
     for (const adapter::row& row : progress.rows)
     {
+        if (job::parse_progress_key(row.key).second > 0)
+        {
+            continue;
+        }
         const std::optional<job::progress> stored =
             parse_or_log("progress_unreadable", row.key, row.version,
                          [&] { return job::parse_progress(row.value); });
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -234,7 +234,8 @@
         for (const auto& entry : owner_.jobs_)
         {
             job_state& job = *entry.second;
-            if (job::is_final(job.reported_state) || !pools_.contains(job.queue.pool))
+            if (job::is_final(job.reported_state) || owner_.is_held_back(job) ||
+                !pools_.contains(job.queue.pool))
             {
                 continue;
             }
@@ -354,7 +355,7 @@
         server.held = false;
         owner_.attach(ref, server);
         owner_.assigned_.push_back(ref);
-        owner_.mark_dirty(*ref.job);
+        owner_.mark_dirty(ref);
     }
 
     [[nodiscard]] static int runs_of_step(const server_state& server, const task_ref& ref)
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -78,6 +78,10 @@
     job.record = std::move(record);
     job.is_long_running = std::any_of(job.record.work.steps.begin(), job.record.work.steps.end(),
                                       [](const job::step& step) { return step.long_running; });
+    for (const job::step& step : job.record.work.steps)
+    {
+        job.tasks_per_occurrence += step.count;
+    }
     apply_queue(job);
     jobs_.emplace(job.record.id, std::move(owned));
     if (job.record.work.times.occurrences == 0)
@@ -199,14 +203,31 @@
             stops_.push_back(ref);
         }
     }
-    job.dirty = false;
+    job.dirty_rows.clear();
     std::erase(dirty_, &job);
+    restore_rows(job, stored);
     for (std::size_t index = 0; index < job.occurrences.size(); ++index)
     {
         open_steps(job, index);
     }
 }
 
+void scheduler::restore_rows(job_state& job, const job::progress& stored)
+{
+    job.begun_written = stored.begun;
+    job.further_rows.insert(stored.further_rows.begin(), stored.further_rows.end());
+    for (const job::task_progress& saved : stored.tasks)
+    {
+        task_ref ref;
+        if (find_task({job.record.id, saved.position}, ref) && row_of(ref) > 0 &&
+            !job.further_rows.contains(row_of(ref)))
+        {
+            // An earlier version stored all tasks in the first row.
+            mark_dirty(ref);
+        }
+    }
+}
+
 void scheduler::end_restored_runs(const job::progress& stored, steady_time now)
 {
     for (const job::task_progress& saved : stored.tasks)
@@ -247,13 +268,25 @@
     return false;
 }
 
-void scheduler::mark_dirty(job_state& job)
+void scheduler::mark_dirty(job_state& job, std::int64_t row)
 {
-    if (!job.dirty)
+    if (job.dirty_rows.empty())
     {
-        job.dirty = true;
         dirty_.push_back(&job);
     }
+    job.dirty_rows.insert(row);
+}
+
+std::int64_t scheduler::row_of(const task_ref& ref) const
+{
+    std::int64_t number =
+        ref.job->occurrences[ref.occurrence].number * ref.job->tasks_per_occurrence +
+        static_cast<std::int64_t>(ref.index);
+    for (std::size_t step = 0; step < ref.step; ++step)
+    {
+        number += ref.job->record.work.steps[step].count;
+    }
+    return number / settings_.tasks_per_row;
 }
 
 void scheduler::attach(const task_ref& ref, server_state& server)
@@ -313,7 +346,7 @@
     }
     task.phase = task_phase::waiting;
     ++ref.parent_step().waiting;
-    mark_dirty(*ref.job);
+    mark_dirty(ref);
     plan_needed_ = true;
 }
 
@@ -333,7 +366,7 @@
     task.phase = task_phase::done;
     task.checkpoint.clear();
     ++step.done;
-    mark_dirty(*ref.job);
+    mark_dirty(ref);
     if (step.done < ref.definition().count)
     {
         return;
@@ -358,6 +391,11 @@
     job.reported_state = reported_state;
     job.ended = store_time_;
     mark_dirty(job);
+    // The tasks without runs need not be stored any more.
+    for (const std::int64_t row : job.further_rows)
+    {
+        mark_dirty(job, row);
+    }
     log_event(log_level::info, "job_ended",
               {{"job", job.record.id},
                {"queue", job.record.queue.name},
@@ -404,6 +442,11 @@
         return;
     }
     ref.job->begun = true;
+    std::vector<const server_state*>& unstored = ref.job->unstored_ends;
+    if (std::find(unstored.begin(), unstored.end(), &server) == unstored.end())
+    {
+        unstored.push_back(&server);
+    }
     task_state& task = ref.task();
     const job::step& step = ref.definition();
     const bool current = task.server == &server && task.run == ended.run && has_run(task);
@@ -436,11 +479,12 @@
     {
         task.failed_run = ended.run;
         record_run_result(server, true, now);
-        mark_dirty(*ref.job);
+        mark_dirty(ref);
         if (!step.long_running)
         {
             task_state& counted = step.gang ? ref.parent_step().tasks.front() : task;
             ++counted.failures;
+            mark_dirty(counted_task(ref));
             if (counted.failures >= ref.job->queue.max_attempts &&
                 !job::is_final(ref.job->reported_state))
             {
@@ -512,6 +556,7 @@
         task_state& task = other.task();
         task.run = std::max(task.run, run);
         task.checkpoint = checkpoint;
+        mark_dirty(other);
         if (task.phase == task_phase::assigned)
         {
             requeue(other);
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -28,15 +28,18 @@
 
 using std::chrono::milliseconds;
 
-/// The progress of one job, to be stored.
+/// A progress row of a job, to be stored.
 struct progress_write
 {
     std::string job;
+    /// Empty if the row is to be removed.
     std::string text;
     job::state reported_state = job::state::queued;
     /// True if the job reaches its final state with this write, at age `age`.
     bool ended = false;
     milliseconds age{0};
+    /// Number of the row; the first, 0, has the job's state.
+    std::int64_t row = 0;
 };
 
 /// Changes that are stored in one transaction before any of them takes effect.
@@ -124,8 +127,8 @@
     /// the occurrences that are due.
     void advance(steady_time now, wall_time wall, milliseconds store_time);
 
-    /// Chooses servers for waiting tasks and returns the changes to store, for at most `max_rows`
-    /// jobs. No further servers are chosen once `max_starts` start orders are to be sent; only the
+    /// Chooses servers for waiting tasks and returns the changes to store, in at most `max_rows`
+    /// rows. No further servers are chosen once `max_starts` start orders are to be sent; only the
     /// last gang may exceed that.
     batch prepare(steady_time now, std::size_t max_rows,
                   std::size_t max_starts = std::numeric_limits<std::size_t>::max());
@@ -137,6 +140,10 @@
     /// Returns a batch that may not have been stored; its changes are prepared again.
     void not_stored(const batch& work);
 
+    /// As `not_stored`, for a batch that the store will never accept. If it has a single row, the
+    /// job of that row is set aside for some time, so that it holds back no other.
+    void rejected(const batch& work, steady_time now);
+
     /// Returns the stop orders that are due.
     std::vector<worker::stop_order> take_stops(steady_time now);
 
@@ -203,6 +210,8 @@
     void open_steps(job_state& job, std::size_t occurrence);
     void add_occurrence(job_state& job, int number, steady_time due, steady_time now);
     void restore(job_state& job, const job::progress& stored, steady_time now);
+    /// Takes over which rows the job has.
+    void restore_rows(job_state& job, const job::progress& stored);
     /// Ends the restored runs of servers that are known to have ended.
     void end_restored_runs(const job::progress& stored, steady_time now);
     void finish_task(const task_ref& ref);
@@ -250,7 +259,20 @@
     void restore_suspicions(job_state& job, steady_time now);
     template <typename Predicate>
     void blame_runs(Predicate has_ended);
-    void mark_dirty(job_state& job);
+    /// Marks the row with the job's own state as older than this state.
+    void mark_dirty(job_state& job) { mark_dirty(job, 0); }
+    /// Marks the row with the task.
+    void mark_dirty(const task_ref& ref) { mark_dirty(*ref.job, row_of(ref)); }
+    void mark_dirty(job_state& job, std::int64_t row);
+    /// Number of the progress row that holds the task.
+    [[nodiscard]] std::int64_t row_of(const task_ref& ref) const;
+    /// True if the task's progress, or that of its gang, is not stored yet.
+    [[nodiscard]] bool is_unstored(const task_ref& ref) const;
+    [[nodiscard]] bool is_held_back(const job_state& job) const { return now_ < job.held_until; }
+    /// Adds rows of the job to the batch; returns false once the batch is full.
+    bool add_rows(job_state& job, std::size_t max_rows, std::size_t& bytes, batch& result);
+    [[nodiscard]] std::string row_text(job_state& job, std::int64_t row) const;
+    void add_acknowledgements(batch& result) const;
     [[nodiscard]] bool find_task(const worker::task_name& name, task_ref& ref);
     [[nodiscard]] server_state& server_entry(const std::string& id, std::int64_t born);
     [[nodiscard]] bool is_answering(const server_state& server) const;
@@ -258,7 +280,9 @@
     [[nodiscard]] int unavailable_tasks(const task_ref& ref) const;
     /// True if a stop of the task is an evacuation, which its disruption budget has to permit.
     [[nodiscard]] static bool is_evacuation(const task_ref& ref);
-    [[nodiscard]] job::progress snapshot(const job_state& job) const;
+    /// The tasks of one row that have to be stored.
+    [[nodiscard]] std::vector<job::task_progress> snapshot(const job_state& job,
+                                                           std::int64_t row) const;
     void record_run_result(server_state& server, bool failed, steady_time now);
     void check_run_progress(const task_ref& ref, int percent, steady_time now);
     void plan(steady_time now, std::size_t max_starts);
--- a/src/scheduler/scheduler_batch.cpp
+++ b/src/scheduler/scheduler_batch.cpp
@@ -2,6 +2,7 @@
 #include "scheduler/scheduler.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace lacewingquay::scheduler
@@ -59,21 +60,28 @@
     }
 }
 
-job::progress scheduler::snapshot(const job_state& job) const
+std::vector<job::task_progress> scheduler::snapshot(const job_state& job, std::int64_t row) const
 {
-    job::progress result;
-    result.reported_state = job.reported_state;
-    result.ended = job.ended;
-    result.begun = job.begun;
+    std::vector<job::task_progress> result;
     const bool ended = job::is_final(job.reported_state);
+    const std::int64_t first = row * settings_.tasks_per_row;
+    const std::int64_t last = first + settings_.tasks_per_row;
     for (const occurrence_state& occurrence : job.occurrences)
     {
+        std::int64_t number = occurrence.number * job.tasks_per_occurrence;
+        if (number >= last || number + job.tasks_per_occurrence <= first)
+        {
+            continue;
+        }
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step)
         {
             const std::vector<task_state>& tasks = occurrence.steps[step].tasks;
-            for (std::size_t index = 0; index < tasks.size(); ++index)
+            const std::int64_t count = static_cast<std::int64_t>(tasks.size());
+            const std::int64_t begin = std::clamp<std::int64_t>(first - number, 0, count);
+            const std::int64_t end = std::clamp<std::int64_t>(last - number, 0, count);
+            for (std::int64_t index = begin; index < end; ++index)
             {
-                const task_state& task = tasks[index];
+                const task_state& task = tasks[static_cast<std::size_t>(index)];
                 const bool skip = task.run == 0 || (ended && task.server == nullptr);
                 if (skip && !(task.phase == task_phase::done && !ended))
                 {
@@ -94,13 +102,92 @@
                     saved.server_born = task.server->info.born;
                     saved.machine = task.server->info.machine;
                 }
-                result.tasks.push_back(std::move(saved));
+                result.push_back(std::move(saved));
             }
+            number += count;
         }
     }
     return result;
 }
 
+std::string scheduler::row_text(job_state& job, std::int64_t row) const
+{
+    // Room for the line of the job and for line ends.
+    constexpr std::size_t reserved = 128;
+    const std::size_t rows = static_cast<std::size_t>(settings_.tasks_per_row);
+    const std::size_t line_limit = (settings_.max_row_bytes - reserved) / rows;
+    std::vector<job::task_progress> tasks = snapshot(job, row);
+    for (job::task_progress& task : tasks)
+    {
+        if (!job::fit_line(task, line_limit))
+        {
+            log_event(log_level::warning, "progress_shortened",
+                      {{"job", job.record.id},
+                       {"step", task.position.step},
+                       {"index", task.position.index},
+                       {"max_bytes", line_limit}});
+        }
+    }
+    if (row > 0)
+    {
+        return job::serialize_tasks(tasks);
+    }
+    job.begun_written = job.begun;
+    return job::serialize_progress({job.reported_state, job.ended, job.begun, std::move(tasks)});
+}
+
+bool scheduler::add_rows(job_state& job, std::size_t max_rows, std::size_t& bytes, batch& result)
+{
+    const bool ended = job::is_final(job.reported_state);
+    if (!job.begun_written && job.begun)
+    {
+        job.dirty_rows.insert(0);
+    }
+    while (!job.dirty_rows.empty())
+    {
+        if (result.writes.size() >= max_rows)
+        {
+            return false;
+        }
+        // A job is stored as ended before its runs are forgotten. Before that, the first row comes
+        // last, as an earlier version stored all tasks in it.
+        const std::int64_t row = ended ? *job.dirty_rows.begin() : *job.dirty_rows.rbegin();
+        std::string text = row_text(job, row);
+        if (!result.writes.empty() && bytes + text.size() > settings_.max_batch_bytes)
+        {
+            return false;
+        }
+        bytes += text.size();
+        job.dirty_rows.erase(row);
+        const bool is_needless = text.empty() && !job.further_rows.contains(row);
+        if (row > 0 && !text.empty())
+        {
+            job.further_rows.insert(row);
+        }
+        if (!is_needless)
+        {
+            result.writes.push_back(
+                {job.record.id, std::move(text), job.reported_state, false, milliseconds(0), row});
+        }
+    }
+    return true;
+}
+
+bool scheduler::is_unstored(const task_ref& ref) const
+{
+    const std::set<std::int64_t>& dirty = ref.job->dirty_rows;
+    if (!ref.definition().gang)
+    {
+        return dirty.contains(row_of(ref));
+    }
+    task_ref first = ref;
+    first.index = 0;
+    task_ref last = ref;
+    last.index = ref.parent_step().tasks.size() - 1;
+    const auto found = dirty.lower_bound(row_of(first));
+    return found != dirty.end() && *found <= row_of(last);
+}
+
 std::unordered_set<const job_state*> scheduler::sort_dirty()
 {
     std::unordered_set<const job_state*> starting;
@@ -125,18 +212,28 @@
     }
     batch result;
     const std::unordered_set<const job_state*> starting = sort_dirty();
-    const std::size_t count = std::min(max_rows, dirty_.size());
-    for (std::size_t index = 0; index < count; ++index)
+    std::vector<job_state*> remaining;
+    std::size_t bytes = 0;
+    bool is_full = false;
+    for (job_state* job : dirty_)
     {
-        job_state& job = *dirty_[index];
-        if (starting.contains(&job) && job.reported_state == job::state::queued)
+        if (is_full || is_held_back(*job))
+        {
+            remaining.push_back(job);
+            continue;
+        }
+        if (starting.contains(job) && job->reported_state == job::state::queued)
         {
-            job.reported_state = job::state::running;
+            job->reported_state = job::state::running;
+            job->dirty_rows.insert(0);
+        }
+        is_full = !add_rows(*job, max_rows, bytes, result);
+        if (is_full)
+        {
+            remaining.push_back(job);
         }
-        result.writes.push_back(
-            {job.record.id, job::serialize_progress(snapshot(job)), job.reported_state});
-        job.dirty = false;
     }
+    dirty_ = std::move(remaining);
     std::vector<task_ref> deferred;
     for (const task_ref& ref : assigned_)
     {
@@ -145,7 +242,7 @@
         {
             continue;
         }
-        if (ref.job->dirty)
+        if (is_unstored(ref))
         {
             deferred.push_back(ref);
             continue;
@@ -161,18 +258,30 @@
                                  ticket_for(ref, info.id)});
     }
     assigned_ = std::move(deferred);
-    dirty_.erase(dirty_.begin(), dirty_.begin() + static_cast<std::ptrdiff_t>(count));
-    if (dirty_.empty())
+    add_acknowledgements(result);
+    return result;
+}
+
+void scheduler::add_acknowledgements(batch& result) const
+{
+    // Only jobs that are held back may be left: the ends of their runs are not stored.
+    std::set<const server_state*> unstored;
+    for (const job_state* job : dirty_)
     {
-        for (const auto& entry : servers_)
+        if (!is_held_back(*job))
         {
-            if (entry.second->ends_read > entry.second->ends_stored)
-            {
-                result.acknowledgements.emplace_back(entry.first, entry.second->ends_read);
-            }
+            return;
+        }
+        unstored.insert(job->unstored_ends.begin(), job->unstored_ends.end());
+    }
+    for (const auto& entry : servers_)
+    {
+        const server_state& server = *entry.second;
+        if (server.ends_read > server.ends_stored && !unstored.contains(&server))
+        {
+            result.acknowledgements.emplace_back(entry.first, server.ends_read);
         }
     }
-    return result;
 }
 
 void scheduler::log_starts(const batch& work, steady_time now)
@@ -232,8 +341,16 @@
         {
             continue;
         }
-        const job_state& job = *found->second;
-        if (job::is_final(job.reported_state) && job.runs == 0 && !job.dirty &&
+        job_state& job = *found->second;
+        if (write.row > 0 && write.text.empty())
+        {
+            job.further_rows.erase(write.row);
+        }
+        if (job.dirty_rows.empty())
+        {
+            job.unstored_ends.clear();
+        }
+        if (job::is_final(job.reported_state) && job.runs == 0 && job.dirty_rows.empty() &&
             job.reported_state == write.reported_state)
         {
             add_ended(job.record.id, job.ended);
@@ -252,7 +369,7 @@
         const auto found = jobs_.find(write.job);
         if (found != jobs_.end())
         {
-            mark_dirty(*found->second);
+            mark_dirty(*found->second, write.row);
         }
     }
     for (const worker::start_order& order : work.starts)
@@ -266,6 +383,35 @@
     }
 }
 
+void scheduler::rejected(const batch& work, steady_time now)
+{
+    not_stored(work);
+    if (work.writes.size() != 1)
+    {
+        return;
+    }
+    const auto found = jobs_.find(work.writes.front().job);
+    if (found == jobs_.end())
+    {
+        return;
+    }
+    job_state& job = *found->second;
+    job.held_until = now + settings_.rejection_pause;
+    log_event(log_level::error, "progress_rejected",
+              {{"job", job.record.id},
+               {"row", work.writes.front().row},
+               {"bytes", work.writes.front().text.size()}});
+    // Others may use the capacity meanwhile.
+    const std::vector<task_ref> assigned = assigned_;
+    for (const task_ref& ref : assigned)
+    {
+        if (ref.job == &job)
+        {
+            requeue(ref);
+        }
+    }
+}
+
 std::vector<std::string> scheduler::take_ended()
 {
     return std::exchange(ended_, {});
--- a/src/scheduler/scheduler_crashes.cpp
+++ b/src/scheduler/scheduler_crashes.cpp
@@ -81,7 +81,7 @@
         {
             exposed_runs_.push_back(
                 {{ref.job->record.id, counted.position()}, history.suspicions.back(), now});
-            mark_dirty(*ref.job);
+            mark_dirty(counted);
         }
     }
 }
@@ -99,7 +99,7 @@
             task_ref ref;
             if (find_task(entry.task, ref) && clear_suspicion(ref.task().crashes, entry.crash))
             {
-                mark_dirty(*ref.job);
+                mark_dirty(ref);
             }
             return true;
         });
@@ -130,7 +130,7 @@
         !may_be_proved)
     {
         forget_crashes(history);
-        mark_dirty(*ref.job);
+        mark_dirty(counted_task(ref));
     }
 }
 
@@ -217,7 +217,7 @@
         }
         job::crash_history& history = ref.task().crashes;
         const crash_verdict verdict = confirm_crash(history, entry.crash, settings_);
-        mark_dirty(*ref.job);
+        mark_dirty(ref);
         log_event(log_level::warning,
                   verdict == crash_verdict::give_up ? "task_given_up" : "task_crash_counted",
                   {{"job", entry.task.job},
--- a/src/scheduler/settings.hpp
+++ b/src/scheduler/settings.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 
 namespace lacewingquay::scheduler
 {
@@ -73,6 +75,14 @@
     /// A registration may outlive its server this long: three heartbeats of 1.5 s, and as much
     /// again while the store is unavailable.
     milliseconds max_registration_lag{9'000};
+    /// Tasks in one progress row of a job. Part of the stored format.
+    std::int64_t tasks_per_row = 32;
+    /// Largest row of the store, in bytes.
+    std::size_t max_row_bytes = 65'536;
+    /// Most bytes of the progress rows of one batch.
+    std::size_t max_batch_bytes = 600'000;
+    /// A job whose progress the store has rejected is not written again for this time.
+    milliseconds rejection_pause{10'000};
 };
 
 } // namespace lacewingquay::scheduler
--- a/src/scheduler/state.hpp
+++ b/src/scheduler/state.hpp
@@ -129,13 +129,23 @@
     /// Number of the next occurrence to create, for periodic jobs.
     int next_occurrence = 0;
     int occurrences_done = 0;
-    /// True if the stored progress is older than this state.
-    bool dirty = false;
+    /// Progress rows that are older than this state. The first row also has the job's own state.
+    std::set<std::int64_t> dirty_rows;
+    /// Rows behind the first that may be stored.
+    std::set<std::int64_t> further_rows;
+    /// `begun` as last written to the first row.
+    bool begun_written = false;
+    /// The store has rejected a row of the job, so none is written until then.
+    steady_time held_until{};
+    /// Servers with ended runs of this job whose effect is not stored yet.
+    std::vector<const server_state*> unstored_ends;
     /// A batch with the final state has been prepared.
     bool end_written = false;
     bool is_long_running = false;
     /// Runs that may be on backend servers.
     int runs = 0;
+    /// Tasks of one occurrence.
+    std::int64_t tasks_per_occurrence = 0;
 };
 
 /// Direct reference to a task. Valid as long as its job is known to the scheduler.
--- a/tests/adapter/decode_test.cpp
+++ b/tests/adapter/decode_test.cpp
@@ -177,6 +177,20 @@
     CHECK(values.machine_lease == std::chrono::milliseconds(2'500));
     CHECK(values.machines.port == 0);
     CHECK(values.store.port == 3);
+    CHECK(values.max_row_bytes == 65'536);
+    const auto with_row_bytes = [&](const std::string& bytes)
+    {
+        const std::string found = R"("address":"10.0.0.2:3")";
+        return std::string(text).replace(text.find(found), found.size(),
+                                         found + R"(,"row-bytes":)" + bytes);
+    };
+    CHECK(value_of<manager::settings>([&] { return parse_settings(with_row_bytes("32768")); })
+              .max_row_bytes == 32'768);
+    for (const std::string bytes : {"100", "-1", "1e30", "\"x\""})
+    {
+        CHECK(error_of([&] { return parse_settings(with_row_bytes(bytes)); }).find("row-bytes") !=
+              std::string::npos);
+    }
 }
 
 TEST_CASE("a job and its cancellation share a transaction group, the owner's rows have their own",
--- a/tests/manager/fleet_controller_test.cpp
+++ b/tests/manager/fleet_controller_test.cpp
@@ -1,6 +1,7 @@
 #include "http/server.hpp"
 #include "manager/fleet_controller.hpp"
 #include "platform/loopback.hpp"
+#include "store_limits.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -29,6 +30,10 @@
             co_return http::make_response(http::status::service_unavailable, "{}");
         }
         const bool is_commit = target.find("rows-tx") != std::string::npos;
+        if (is_commit && test::exceeds_store_limits(received))
+        {
+            co_return http::make_response(http::status::bad_request, "{}");
+        }
         if (is_commit && received.body().find("\"orders\"") != std::string::npos)
         {
             on_record();
--- a/tests/manager/job_api_test.cpp
+++ b/tests/manager/job_api_test.cpp
@@ -2,13 +2,19 @@
 #include "http/server.hpp"
 #include "manager/job_api.hpp"
 #include "platform/loopback.hpp"
+#include "store_limits.hpp"
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
 
+#include <chrono>
+#include <exception>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 using namespace lacewingquay;
 using namespace lacewingquay::manager;
@@ -23,6 +29,8 @@
 struct fake_store
 {
     std::set<std::string> keys;
+    /// Transactions that name it are rejected.
+    std::string rejected_key = "none";
 
     http::response handle(const http::request& received)
     {
@@ -30,6 +38,11 @@
         boost::json::array rows;
         if (target.find("rows-tx") != std::string::npos)
         {
+            if (test::exceeds_store_limits(received) ||
+                received.body().find(rejected_key) != std::string::npos)
+            {
+                return http::make_response(http::status::bad_request, "{}");
+            }
             const boost::json::value work = boost::json::parse(received.body());
             for (const boost::json::value& write : work.at("set-keys").as_array())
             {
@@ -83,13 +96,37 @@
         callers->start();
     }
 
-    http::response submit(const std::string& id)
+    static http::request make_submission(const std::string& id, std::string body)
     {
-        http::request message =
-            http::make_request(http::method::post, "/q/" + id, std::string(job_body));
+        http::request message = http::make_request(http::method::post, "/q/" + id, std::move(body));
         message.set(boost::beast::http::field::host, "h");
         message.set("Deadline-Ms", "3000");
-        return test::run(io, callers->handle(std::move(message)));
+        return message;
+    }
+
+    http::response submit(const std::string& id)
+    {
+        return test::run(io, callers->handle(make_submission(id, std::string(job_body))));
+    }
+
+    /// Submits jobs at the same time; returns the status of each answer, by id.
+    std::map<std::string, unsigned> submit_together(const std::vector<std::string>& ids,
+                                                    const std::string& body)
+    {
+        std::map<std::string, unsigned> answers;
+        for (const std::string& id : ids)
+        {
+            boost::asio::co_spawn(io, callers->handle(make_submission(id, body)),
+                                  [&answers, id](const std::exception_ptr&, http::response answer)
+                                  { answers[id] = answer.result_int(); });
+        }
+        const std::chrono::steady_clock::time_point deadline =
+            std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        while (answers.size() < ids.size() && std::chrono::steady_clock::now() < deadline)
+        {
+            io.run_one_until(deadline);
+        }
+        return answers;
     }
 
     boost::asio::io_context io;
@@ -124,3 +161,50 @@
     CHECK(busy.submit("00000000000000b1").result_int() == 200);
     CHECK(busy.submit("00000000000000b2").result_int() == 503);
 }
+
+namespace
+{
+
+/// Ids that share a transaction.
+std::vector<std::string> ids_of_one_group(std::size_t count)
+{
+    std::vector<std::string> ids;
+    for (int number = 0; ids.size() < count; ++number)
+    {
+        std::string id = std::to_string(1'000'000'000'000'000 + number);
+        if (adapter::store::group_of("j/" + id) == 0)
+        {
+            ids.push_back(std::move(id));
+        }
+    }
+    return ids;
+}
+
+} // namespace
+
+TEST_CASE("large jobs that are submitted together are stored in several transactions", "[manager]")
+{
+    // Guards against refusing all of them, as one transaction would be larger than the store takes.
+    fake_store store;
+    entry_host host(store, milliseconds(200));
+    const std::string body = R"({"spec":")" + std::string(45'000, 'x') +
+                             R"(","steps":[{"count":2,"cpu":1000,"est-duration-ms":500}]})";
+    for (const auto& answer : host.submit_together(ids_of_one_group(40), body))
+    {
+        CHECK(answer.second == 200);
+    }
+    CHECK(store.keys.size() == 40);
+}
+
+TEST_CASE("a job that the store rejects does not prevent others from being stored", "[manager]")
+{
+    fake_store store;
+    entry_host host(store, milliseconds(200));
+    const std::vector<std::string> ids = ids_of_one_group(20);
+    store.rejected_key = "j/" + ids[7];
+    for (const auto& answer : host.submit_together(ids, std::string(job_body)))
+    {
+        CHECK(answer.second == (answer.first == ids[7] ? 400 : 200));
+    }
+    CHECK(store.keys.size() == 19);
+}
--- a/tests/manager/owner_overload_test.cpp
+++ b/tests/manager/owner_overload_test.cpp
@@ -3,6 +3,7 @@
 #include "job/record_text.hpp"
 #include "manager/owner_session.hpp"
 #include "platform/loopback.hpp"
+#include "store_limits.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -57,8 +58,17 @@
         {
             rows = jobs;
         }
-        else if (!is_read)
+        else if (!is_read && target.find("rows-tx") != std::string::npos)
         {
+            const bool renews =
+                received.body().find("\"key\":\"owner\",\"value\"") != std::string::npos;
+            if (test::exceeds_store_limits(received) ||
+                received.body().find(rejected_key) != std::string::npos)
+            {
+                ++rejections;
+                co_return http::make_response(http::status::bad_request, "{}");
+            }
+            renewals += renews ? 1 : 0;
             ++version;
         }
         co_return make_reply({{"rows", std::move(rows)}, {"row-version", version}, {"now-ms", 1}});
@@ -77,6 +87,10 @@
     boost::json::array servers;
     boost::json::array jobs;
     std::int64_t version = 10;
+    /// Transactions that name it are rejected.
+    std::string rejected_key = "none";
+    int rejections = 0;
+    int renewals = 0;
 };
 
 /// Backend servers behind a link that passes one call at a time. A call that its sender gives up is
@@ -157,7 +171,7 @@
 /// A host with a slow link that has taken over a pool in which all tasks have to be started.
 struct overloaded_owner
 {
-    explicit overloaded_owner(int server_count, int tasks)
+    explicit overloaded_owner(int server_count, int tasks, int cpu = 2'000)
     {
         settings values;
         values.host = "host-a";
@@ -178,16 +192,7 @@
             store.servers.push_back(stand_in_store::make_row("servers", "s" + std::to_string(index),
                                                              boost::json::serialize(registration)));
         }
-        job::queue queue;
-        queue.name = "host/queue/";
-        queue.host = "host";
-        queue.prefix = "/queue/";
-        queue.pool = "pool";
-        const std::string body =
-            R"({"spec":"payload","steps":[{"count":)" + std::to_string(tasks) +
-            R"(,"cpu":2000,"mem-mb":100,"est-duration-ms":1000,"long-running":true}]})";
-        store.jobs.push_back(stand_in_store::make_row(
-            "jobs", "j/job", job::serialize_record({queue, milliseconds(1)}, body)));
+        add_job("job", tasks, cpu);
         store_server = serve(io, values.store, store);
         backend_server = serve(io, backend, servers);
         shared = std::make_unique<context>(values, io);
@@ -197,11 +202,29 @@
 
     ~overloaded_owner() { session->release("the test is over"); }
 
+    void add_job(const std::string& id, int tasks, int cpu)
+    {
+        job::queue queue;
+        queue.name = "host/queue/";
+        queue.host = "host";
+        queue.prefix = "/queue/";
+        queue.pool = "pool";
+        const std::string body = R"({"spec":"payload","steps":[{"count":)" + std::to_string(tasks) +
+                                 R"(,"cpu":)" + std::to_string(cpu) +
+                                 R"(,"mem-mb":10,"est-duration-ms":1000,"long-running":true}]})";
+        store.jobs.push_back(stand_in_store::make_row(
+            "jobs", "j/" + id, job::serialize_record({queue, milliseconds(1)}, body)));
+    }
+
     /// Returns after which time `tasks` tasks were running, or `limit`.
     milliseconds time_to_run(std::size_t tasks, milliseconds limit)
     {
         const std::chrono::steady_clock::time_point started = std::chrono::steady_clock::now();
-        session->start();
+        if (!started_)
+        {
+            session->start();
+            started_ = true;
+        }
         while (servers.running_tasks() < tasks &&
                std::chrono::steady_clock::now() < started + limit)
         {
@@ -217,6 +240,7 @@
     std::shared_ptr<http::server> backend_server;
     std::unique_ptr<context> shared;
     std::shared_ptr<owner_session> session;
+    bool started_ = false;
 };
 
 } // namespace
@@ -231,3 +255,34 @@
     CHECK(owner.time_to_run(tasks, limit) < limit);
     CHECK(owner.servers.starts == tasks);
 }
+
+TEST_CASE("a job with more tasks than a row of the store holds is run, and others beside it",
+          "[manager]")
+{
+    // Guards against transactions that the store rejects for all jobs and for the renewal of the
+    // ownership, as long as the large job runs.
+    constexpr milliseconds limit{15'000};
+    constexpr std::size_t tasks = 1'500;
+    overloaded_owner owner(20, tasks, 30);
+    owner.add_job("other", 5, 1'000);
+    CHECK(owner.time_to_run(tasks + 5, limit) < limit);
+    CHECK(owner.store.rejections == 0);
+    CHECK_FALSE(owner.session->ended());
+}
+
+TEST_CASE("a job whose progress the store rejects holds back no other and no renewal", "[manager]")
+{
+    constexpr milliseconds limit{5'000};
+    overloaded_owner owner(4, 3);
+    for (int index = 0; index < 20; ++index)
+    {
+        owner.add_job("other" + std::to_string(index), 1, 100);
+    }
+    owner.store.rejected_key = "\"key\":\"job\"";
+    CHECK(owner.time_to_run(20, limit) < limit);
+    const int renewals = owner.store.renewals;
+    owner.time_to_run(23, milliseconds(2'500));
+    CHECK(owner.store.renewals >= renewals + 2);
+    CHECK(owner.servers.running_tasks() == 20);
+    CHECK_FALSE(owner.session->ended());
+}
--- a/tests/manager/owner_session_test.cpp
+++ b/tests/manager/owner_session_test.cpp
@@ -3,6 +3,7 @@
 #include "http/server.hpp"
 #include "manager/owner_session.hpp"
 #include "platform/loopback.hpp"
+#include "store_limits.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -34,6 +35,10 @@
         {
             on_commit();
         }
+        if (is_commit && test::exceeds_store_limits(received))
+        {
+            co_return http::make_response(http::status::bad_request, "{}");
+        }
         const milliseconds time = is_commit ? commit_time : read_time;
         if (time.count() > 0)
         {
--- a/tests/scheduler/scheduler_simulation.cpp
+++ b/tests/scheduler/scheduler_simulation.cpp
@@ -1,6 +1,7 @@
 #include "scheduler_simulation.hpp"
 
 #include <algorithm>
+#include <stdexcept>
 #include <tuple>
 #include <utility>
 
@@ -10,6 +11,8 @@
 namespace
 {
 
+/// Few, so that most jobs have several rows.
+constexpr std::int64_t tasks_per_row = 2;
 constexpr milliseconds step_time{50};
 constexpr milliseconds poll_interval{200};
 constexpr milliseconds restart_time{1'500};
@@ -118,6 +121,7 @@
 {
     ++term_;
     scheduler::settings settings;
+    settings.tasks_per_row = tasks_per_row;
     if (bug_ == injected_bug::takeover_without_waiting)
     {
         settings.takeover_slack = -2 * settings.lease;
@@ -134,34 +138,49 @@
     }
     for (const auto& entry : jobs_)
     {
-        job::progress stored;
-        bool known = false;
-        const auto found = progress_.find(entry.first);
-        if (found != progress_.end())
+        std::optional<job::progress> stored = read_progress(entry.first);
+        if (stored && bug_ == injected_bug::crashes_not_stored)
         {
-            known = boost::leaf::try_handle_all(
-                [&]() -> boost::leaf::result<bool>
-                {
-                    BOOST_LEAF_ASSIGN(stored, job::parse_progress(found->second));
-                    for (job::task_progress& task : stored.tasks)
-                    {
-                        task.crashes = bug_ == injected_bug::crashes_not_stored
-                                           ? job::crash_history{}
-                                           : task.crashes;
-                    }
-                    return true;
-                },
-                [] { return false; });
-            if (!known)
+            for (job::task_progress& task : stored->tasks)
             {
-                record_violation("stored progress cannot be read: " + found->second);
+                task.crashes = {};
             }
         }
-        owner_->add_job(entry.second, known ? &stored : nullptr, milliseconds(0), now_);
+        owner_->add_job(entry.second, stored ? &*stored : nullptr, milliseconds(0), now_);
         known_to_owner_.insert(entry.first);
     }
 }
 
+std::optional<job::progress> scheduler_simulation::read_progress(const std::string& id) const
+{
+    std::optional<job::progress> result;
+    for (auto row = progress_.lower_bound(id);
+         row != progress_.end() && job::parse_progress_key(row->first).first == id; ++row)
+    {
+        const std::int64_t number = job::parse_progress_key(row->first).second;
+        const bool is_read = boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<bool>
+            {
+                if (number == 0)
+                {
+                    BOOST_LEAF_ASSIGN(result, job::parse_progress(row->second));
+                    return true;
+                }
+                BOOST_LEAF_AUTO(tasks, job::parse_tasks(row->second));
+                result = result ? std::move(result) : job::progress{};
+                result->tasks.insert(result->tasks.end(), tasks.begin(), tasks.end());
+                result->further_rows.push_back(number);
+                return true;
+            },
+            [] { return false; });
+        if (!is_read)
+        {
+            throw std::runtime_error("stored progress cannot be read: " + row->second);
+        }
+    }
+    return result;
+}
+
 void scheduler_simulation::check_start(const worker::start_order& order)
 {
     const worker::task_name& task = order.task;
@@ -737,8 +756,18 @@
 {
     for (const scheduler::progress_write& write : work.writes)
     {
-        progress_[write.job] = write.text;
-        if (write.reported_state == job::state::completed)
+        const std::string key = job::progress_key(write.job, write.row);
+        if (write.text.empty())
+        {
+            progress_.erase(key);
+            continue;
+        }
+        if (write.text.size() > scheduler::settings{}.max_row_bytes)
+        {
+            record_violation("a row that the store does not accept: " + key);
+        }
+        progress_[key] = write.text;
+        if (write.row == 0 && write.reported_state == job::state::completed)
         {
             const job::record& record = jobs_.at(write.job);
             for (std::size_t step = 0; step < record.work.steps.size(); ++step)
--- a/tests/scheduler/scheduler_simulation.hpp
+++ b/tests/scheduler/scheduler_simulation.hpp
@@ -205,6 +205,8 @@
     void send(const worker::start_order& order);
     void end_run(fake_server& server, const worker::task_name& task, worker::end_kind kind);
     void acknowledge_ends(fake_server& server, std::int64_t number);
+    /// The stored progress of a job from all of its rows.
+    [[nodiscard]] std::optional<job::progress> read_progress(const std::string& id) const;
     void check_start(const worker::start_order& order);
     /// Checks that the owner counts every job as waiting that no server has begun.
     void check_waiting_count();
@@ -236,6 +238,7 @@
     steady_time next_owner_at_{};
     std::map<std::string, fake_server> servers_;
     std::map<std::string, job::record> jobs_;
+    /// Progress rows by key.
     std::map<std::string, std::string> progress_;
     std::set<std::string> cancelled_;
     /// Jobs of which a server has started a task.
--- a/tests/scheduler/scheduler_simulation_faults.cpp
+++ b/tests/scheduler/scheduler_simulation_faults.cpp
@@ -199,17 +199,10 @@
 
 bool scheduler_simulation::is_stored_as_done(const worker::task_name& task) const
 {
-    const auto found = progress_.find(task.job);
-    return found != progress_.end() &&
-           boost::leaf::try_handle_all(
-               [&]() -> boost::leaf::result<bool>
-               {
-                   BOOST_LEAF_AUTO(stored, job::parse_progress(found->second));
-                   return std::any_of(stored.tasks.begin(), stored.tasks.end(),
-                                      [&](const job::task_progress& saved)
-                                      { return saved.done && saved.position == task.position; });
-               },
-               [] { return false; });
+    const std::optional<job::progress> stored = read_progress(task.job);
+    return stored && std::any_of(stored->tasks.begin(), stored->tasks.end(),
+                                 [&](const job::task_progress& saved)
+                                 { return saved.done && saved.position == task.position; });
 }
 
 std::string scheduler_simulation::describe_run(const worker::task_name& task) const
--- a/tests/soak/standin.py
+++ b/tests/soak/standin.py
@@ -12,6 +12,9 @@
 
 # Each backend server has an address of its own.
 SERVER_PORT = 7000
+# Limits of the store: of a transaction as it is sent, and of a row's value.
+CALL_BYTES = 1_000_000
+ROW_BYTES = 65_536
 
 REASONS = {200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found", 409: "Conflict", 410: "Gone",
            412: "Precondition Failed", 421: "Misdirected Request", 429: "Too Many Requests", 503: "Unavailable"}
@@ -118,7 +121,7 @@
         parts = urlsplit(target)
         query = {key: values[0] for key, values in parse_qs(parts.query, keep_blank_values=True).items()}
         if parts.path.endswith("/rows-tx"):
-            return self.transact(json.loads(body))
+            return self.transact(json.loads(body), len(body))
         if parts.path.endswith("/rows-get"):
             first, last = query.get("from", ""), query.get("target")
             found = sorted((name, row) for name, row in self.rows.items()
@@ -142,11 +145,13 @@
                     pass
         return 404, {}
 
-    def transact(self, work):
+    def transact(self, work, size):
         def name(entry):
             return entry["table"], entry["part"], entry["key"]
         entries = work["precondition"] + work["set-keys"] + work["remove"]
-        if len(entries) > 100 or len({entry["part"] for entry in entries}) > 1:
+        largest = max((len(base64.b64decode(entry["value"])) for entry in work["set-keys"]), default=0)
+        if (len(entries) > 100 or size > CALL_BYTES or largest > ROW_BYTES
+                or len({entry["part"] for entry in entries}) > 1):
             return 400, {}
         if any(entry["table"] in ("op", "servers") for entry in work["set-keys"] + work["remove"]):
             return 403, {}
