Bound what is read from lists of other writers

Reported by operators of similar systems: one odd entry among the registrations ended hosts again and again, or kept them from following the list. Nested entries and ports were refused here before.

Feeds log an exception and go on.

--- a/src/core/parse_or_log.hpp
+++ b/src/core/parse_or_log.hpp
@@ -6,6 +6,7 @@
 #include <boost/leaf.hpp>
 
 #include <cstdint>
+#include <exception>
 #include <optional>
 #include <string_view>
 #include <type_traits>
@@ -14,7 +15,8 @@
 {
 
 /// The value that `parse` returns. If the input cannot be used, logs `event` with the input's key,
-/// its version and the reason, and returns nothing.
+/// its version and the reason, and returns nothing. An exception counts as such an input, as it
+/// would end the coroutine that reads a list.
 template <typename Parse>
 [[nodiscard]] auto parse_or_log(std::string_view event, std::string_view key, std::int64_t version,
                                 Parse&& parse)
@@ -27,14 +29,21 @@
                   {{"key", key}, {"row_version", version}, {"reason", reason}});
         return std::optional<value_type>();
     };
-    return boost::leaf::try_handle_all(
-        [&]() -> boost::leaf::result<std::optional<value_type>>
-        {
-            BOOST_LEAF_AUTO(value, parse());
-            return std::optional<value_type>(std::move(value));
-        },
-        [&](const input_error& error) { return note(error.message()); },
-        [&] { return note("not readable"); });
+    try
+    {
+        return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<std::optional<value_type>>
+            {
+                BOOST_LEAF_AUTO(value, parse());
+                return std::optional<value_type>(std::move(value));
+            },
+            [&](const input_error& error) { return note(error.message()); },
+            [&] { return note("not readable"); });
+    }
+    catch (const std::exception& error)
+    {
+        return note(error.what());
+    }
 }
 
 } // namespace lacewingquay
--- a/src/manager/feed.cpp
+++ b/src/manager/feed.cpp
@@ -144,6 +144,29 @@
     co_return std::move(reading.result);
 }
 
+namespace
+{
+
+/// Passes on changes. An exception would end the coroutine, and the table would not be followed any
+/// more.
+void apply_changes(const feed_settings& feed, const table_changes& changes)
+{
+    try
+    {
+        feed.apply(changes);
+    }
+    catch (const std::exception& error)
+    {
+        log_event(log_level::error, "changes_not_applied",
+                  {{"table", feed.table},
+                   {"rows", changes.rows.size()},
+                   {"version", changes.position.version},
+                   {"reason", error.what()}});
+    }
+}
+
+} // namespace
+
 boost::asio::awaitable<void> follow_table(context& shared, feed_settings feed)
 {
     feed_position position;
@@ -165,7 +188,7 @@
             }
             has_snapshot = true;
             position = {snapshot.version, snapshot.store_time};
-            feed.apply({snapshot.rows, true, position});
+            apply_changes(feed, {snapshot.rows, true, position});
             feed.advanced(position);
             feed.after_call(true);
         }
@@ -203,7 +226,7 @@
         }
         if (!changes.rows.empty())
         {
-            feed.apply({changes.rows, false, position});
+            apply_changes(feed, {changes.rows, false, position});
         }
         feed.advanced(position);
         feed.after_call(true);
--- a/src/manager/fleet_controller_orders.cpp
+++ b/src/manager/fleet_controller_orders.cpp
@@ -75,9 +75,13 @@
     for (const boost::json::key_value_pair& entry : body.value_or(boost::json::object()))
     {
         // An invalid time counts as now, which reserves the machine for the longest possible time.
+        constexpr std::int64_t max_time_ms = 1'000'000'000'000;
         boost::system::error_code error;
         const std::int64_t at = entry.value().to_number<std::int64_t>(error);
-        const milliseconds age = error ? milliseconds(0) : shared_.store_time() - milliseconds(at);
+        const bool is_valid = !error && at >= 0 && at <= max_time_ms;
+        const milliseconds age =
+            is_valid ? std::max(milliseconds(0), shared_.store_time() - milliseconds(at))
+                     : milliseconds(0);
         reserved_until_[entry.key()] = shared_.now() - age + order_memory();
     }
     co_return true;
--- a/src/scheduler/admission.cpp
+++ b/src/scheduler/admission.cpp
@@ -7,10 +7,24 @@
 namespace lacewingquay::scheduler
 {
 
+namespace
+{
+
+/// Longest time in milliseconds that a decision distinguishes, three years; a time point plus some
+/// of these stays in range.
+constexpr double max_time_ms = 1e11;
+
+milliseconds bounded_time(double time_ms)
+{
+    return milliseconds(static_cast<std::int64_t>(std::min(time_ms, max_time_ms)));
+}
+
+} // namespace
+
 milliseconds allowed_time(const job::definition& work, const job::queue& queue)
 {
     const double chain = static_cast<double>(longest_chain(work).count());
-    return milliseconds(static_cast<std::int64_t>(chain * queue.stretch)) + queue.objective;
+    return bounded_time(chain * queue.stretch) + queue.objective;
 }
 
 admission_control::admission_control(admission_settings values) : settings_(values) {}
@@ -41,8 +55,8 @@
         }
         return {};
     }
-    const milliseconds service_time(static_cast<std::int64_t>(
-        core_seconds(work) * 1e6 / static_cast<double>(load.cpu) * std::max(1, hosts)));
+    const milliseconds service_time =
+        bounded_time(core_seconds(work) * 1e6 / static_cast<double>(load.cpu) * std::max(1, hosts));
     queue_overload& state =
         overloads_.try_emplace(queue.name, queue_overload{now, now}).first->second;
     const steady_time overload_end = now + load.drain + (now - state.since);
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -258,9 +258,13 @@
                     : slack + job.allowed * values.useful_lateness_factor >= values.scheduling_delay
                         ? 1
                         : 2;
+                // The penalty of jobs with more work than that is the same.
+                constexpr double max_penalty_ms = 1e11;
+                const double penalty_ms = remaining_work(job, occurrence) *
+                                          static_cast<double>(values.work_penalty.count());
                 found.rank =
-                    slack + milliseconds(static_cast<std::int64_t>(remaining_work(job, occurrence) *
-                                                                   values.work_penalty.count()));
+                    slack +
+                    milliseconds(static_cast<std::int64_t>(std::min(penalty_ms, max_penalty_ms)));
                 waiting.push_back(found);
             }
         }
--- a/tests/manager/feed_test.cpp
+++ b/tests/manager/feed_test.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -96,6 +97,9 @@
     std::int64_t clock_ = 1'000;
 };
 
+/// Applying this row throws an exception.
+constexpr std::string_view throwing_key = "j/throws";
+
 /// What a feed has delivered.
 struct followed
 {
@@ -139,6 +143,10 @@
         for (const adapter::row& row : changes.rows)
         {
             delivered.keys.push_back(row.key);
+            if (row.key == throwing_key)
+            {
+                throw std::runtime_error("this row cannot be used");
+            }
         }
     };
     feed.advanced = [&](const feed_position& position)
@@ -250,3 +258,25 @@
     CHECK(delivered.positions[3].version == 2);
     CHECK(delivered.positions[3].store_time == delivered.positions[1].store_time);
 }
+
+TEST_CASE("a feed goes on after a change that cannot be applied", "[manager]")
+{
+    // Guards against a host that follows a list no more, without ending, because of one entry.
+    fake_store store;
+    store.before_read = [](std::string_view) {
+    };
+    store.write("j0", std::string(throwing_key));
+    bool added = false;
+    const followed delivered =
+        follow_until(store,
+                     [&](const followed& current)
+                     {
+                         if (!current.keys.empty() && !added)
+                         {
+                             added = true;
+                             store.write("j0", "j/next");
+                         }
+                         return std::count(current.keys.begin(), current.keys.end(), "j/next") > 0;
+                     });
+    CHECK(std::count(delivered.keys.begin(), delivered.keys.end(), "j/next") == 1);
+}
