Do not take a feed that the store cuts off as read up to now

What callers saw: tasks of jobs started more than 4 s after the cancel was acknowledged, and counts of waiting jobs left out the latest ones.

Cause: the store ends an answer of a feed behind about 500 rows, with the version of the last of them and the time of the answer. The host took all changes before that time as delivered.

Why it works: such an answer advances the version only, and the next call is made without a pause, so the age of the view counts from the last complete answer.

Tests: both new cases of [manager] fail if no answer counts as cut off.

--- a/src/manager/feed.cpp
+++ b/src/manager/feed.cpp
@@ -171,6 +171,7 @@
 {
     feed_position position;
     bool has_snapshot = false;
+    bool is_behind = false;
     while (!feed.is_ended())
     {
         if (!has_snapshot)
@@ -193,7 +194,7 @@
             feed.after_call(true);
         }
         const milliseconds call_pause = feed.pause();
-        if (call_pause.count() > 0)
+        if (call_pause.count() > 0 && !is_behind)
         {
             co_await sleep_for(shared, call_pause);
         }
@@ -220,9 +221,11 @@
         }
         shared.update_store_time(changes.store_time, changes.requested_at);
         // A lagging replica may answer with an earlier version; later changes can be missing then.
+        is_behind = changes.has_more;
         if (changes.version >= position.version)
         {
-            position = {changes.version, changes.store_time};
+            // Changes that were left out are older than the answer.
+            position = {changes.version, is_behind ? position.store_time : changes.store_time};
         }
         if (!changes.rows.empty())
         {
--- a/src/manager/waiting_counts.cpp
+++ b/src/manager/waiting_counts.cpp
@@ -140,6 +140,12 @@
                 result.outcome = co_await add_new_jobs();
             }
         }
+        if (result.outcome == "partial")
+        {
+            // Each attempt brings the counts forward.
+            --attempt;
+            continue;
+        }
         if (result.outcome != "superseded")
         {
             co_return result;
@@ -179,8 +185,10 @@
     {
         co_return "stale_read";
     }
-    shared_.load.add_waiting(added, changes.version, changes.store_time);
-    co_return "done";
+    // Changes that were left out are older than the answer.
+    shared_.load.add_waiting(added, changes.version,
+                             changes.has_more ? milliseconds(0) : changes.store_time);
+    co_return changes.has_more ? "partial" : "done";
 }
 
 boost::asio::awaitable<std::string_view> waiting_counts::recount()
--- a/tests/manager/feed_test.cpp
+++ b/tests/manager/feed_test.cpp
@@ -17,6 +17,9 @@
 namespace
 {
 
+/// The store cuts off an answer of a feed behind this many rows.
+constexpr std::size_t max_feed_rows = 500;
+
 /// An in-memory store with the part of its HTTP interface that feeds use.
 class fake_store
 {
@@ -48,7 +51,7 @@
             const std::int64_t after = std::stoll(value_of(target, "after"));
             return after < oldest_history
                        ? http::make_response(http::status::gone, "{}")
-                       : rows([&](const entry& row) { return row.version > after; });
+                       : rows([&](const entry& row) { return row.version > after; }, max_feed_rows);
         }
         const std::string part = value_of(target, "part");
         before_read(part);
@@ -71,14 +74,22 @@
     }
 
     template <typename Filter>
-    [[nodiscard]] http::response rows(Filter&& filter)
+    [[nodiscard]] http::response rows(Filter&& filter, std::size_t max_rows = 1'000'000)
     {
         clock_ += clock_step;
         boost::json::array listed;
+        std::int64_t version = version_;
+        std::size_t listed_until = 0;
         for (const entry& row : rows_)
         {
+            if (listed.size() == max_rows)
+            {
+                version = rows_[listed_until].version;
+                break;
+            }
             if (filter(row))
             {
+                listed_until = static_cast<std::size_t>(&row - rows_.data());
                 listed.emplace_back(boost::json::object{{"table", "jobs"},
                                                         {"part", row.part},
                                                         {"key", row.key},
@@ -87,9 +98,8 @@
             }
         }
         return http::make_response(
-            http::status::ok,
-            boost::json::serialize(boost::json::object{
-                {"rows", listed}, {"row-version", version_}, {"now-ms", clock_}}));
+            http::status::ok, boost::json::serialize(boost::json::object{
+                                  {"rows", listed}, {"row-version", version}, {"now-ms", clock_}}));
     }
 
     std::vector<entry> rows_;
@@ -259,6 +269,39 @@
     CHECK(delivered.positions[3].store_time == delivered.positions[1].store_time);
 }
 
+TEST_CASE("a feed is as old as its last complete answer while changes are left out", "[manager]")
+{
+    // Guards against an owner that starts cancelled jobs, and against counts that pass as current,
+    // as the store cuts off long answers: they show their own time, not that of their last change.
+    fake_store store;
+    store.clock_step = 10;
+    store.before_read = [](std::string_view) {
+    };
+    bool added = false;
+    const followed delivered =
+        follow_until(store,
+                     [&](const followed& current)
+                     {
+                         if (!current.positions.empty() && !added)
+                         {
+                             added = true;
+                             for (int row = 0; row < 1'200; ++row)
+                             {
+                                 store.write("j0", "j/" + std::to_string(row));
+                             }
+                         }
+                         return current.keys.size() >= 1'200;
+                     });
+    REQUIRE(delivered.keys.size() == 1'200);
+    REQUIRE(delivered.positions.size() >= 4);
+    const std::size_t last = delivered.positions.size() - 1;
+    // Two answers of 500 rows, then the rest.
+    CHECK(delivered.positions[last - 1].version < delivered.positions[last].version);
+    CHECK(delivered.positions[last - 1].store_time == delivered.positions[last - 2].store_time);
+    CHECK(delivered.positions[last - 2].store_time == delivered.positions[last - 3].store_time);
+    CHECK(delivered.positions[last].store_time > delivered.positions[last - 1].store_time);
+}
+
 TEST_CASE("a feed goes on after a change that cannot be applied", "[manager]")
 {
     // Guards against a host that follows a list no more, without ending, because of one entry.
--- a/tests/manager/waiting_counts_test.cpp
+++ b/tests/manager/waiting_counts_test.cpp
@@ -18,6 +18,9 @@
 namespace
 {
 
+/// The store cuts off an answer of a feed behind this many rows.
+constexpr std::size_t max_feed_rows = 500;
+
 const job::queue tested_queue{"h/q/", "h", "/q/", "pool"};
 
 /// An in-memory store with the reads that counts of waiting jobs need.
@@ -60,8 +63,8 @@
                 return http::make_response(
                     answers_feeds ? http::status::gone : http::status::service_unavailable, "{}");
             }
-            return rows([&](const entry& row)
-                        { return row.table == table && row.version > after; });
+            return rows([&](const entry& row) { return row.table == table && row.version > after; },
+                        max_feed_rows);
         }
         ++reads;
         if (!answers_reads)
@@ -90,13 +93,21 @@
     }
 
     template <typename Filter>
-    [[nodiscard]] http::response rows(Filter&& filter) const
+    [[nodiscard]] http::response rows(Filter&& filter, std::size_t max_rows = 1'000'000) const
     {
         boost::json::array listed;
+        std::int64_t version = version_;
+        std::size_t listed_until = 0;
         for (const entry& row : rows_)
         {
+            if (listed.size() == max_rows)
+            {
+                version = rows_[listed_until].version;
+                break;
+            }
             if (filter(row))
             {
+                listed_until = static_cast<std::size_t>(&row - rows_.data());
                 listed.emplace_back(boost::json::object{{"table", row.table},
                                                         {"key", row.key},
                                                         {"value", base64_encode(row.value)},
@@ -106,7 +117,7 @@
         return http::make_response(
             http::status::ok,
             boost::json::serialize(boost::json::object{
-                {"rows", std::move(listed)}, {"row-version", version_}, {"now-ms", now.count()}}));
+                {"rows", std::move(listed)}, {"row-version", version}, {"now-ms", now.count()}}));
     }
 
     std::vector<entry> rows_;
@@ -218,6 +229,21 @@
     CHECK(host.ask().body() == count(3));
 }
 
+TEST_CASE("counts are brought up to date over answers that the store cuts off", "[manager]")
+{
+    // Guards against counts that leave out the latest jobs and pass as current.
+    fake_store store;
+    store.write("op", "config", "{}");
+    for (int number = 0; number < 1'200; ++number)
+    {
+        store.add_job(std::to_string(1'000'000'000'000'000 + number));
+    }
+    entry_host host(store);
+    host.deliver(load_row(store.now - milliseconds(6'000)), 1);
+    CHECK(host.ask().body() == count(1'200));
+    CHECK(store.feeds == 3);
+}
+
 TEST_CASE("counts that were complete a moment ago are answered without a read", "[manager]")
 {
     fake_store store;
