Hold starts while cancellations may be unknown, and send stops at once

What callers saw: tasks of cancelled jobs started and ran on for seconds while the owner was overloaded.

Cause: starts did not depend on how old the owner's view of the jobs is, so an owner that fell behind kept itself from reading. And the stops of a cancelled job were sent by the commit loop, which may wait 1.2 s for a transaction.

Why it works: no start is planned or sent on a view that is 2 s old or older, so the load falls until the feed has been read; a repeated poll after one lost answer stays below that. Stops are sent in the step that reads the cancel. The age is a metric, and holding is logged.

Tests: three cases of [manager]; the one of the stops fails if they are left to the commit loop, the others use the new permission.

--- a/src/manager/metrics_collection.cpp
+++ b/src/manager/metrics_collection.cpp
@@ -35,6 +35,9 @@
                            static_cast<double>(work.stops));
         daemon_metrics.set("lacewingquay_session_looks", "Looks at servers in this term.",
                            static_cast<double>(work.polls));
+        daemon_metrics.set("lacewingquay_jobs_age_seconds",
+                           "Age of what the owner has read of callers' jobs.",
+                           std::chrono::duration<double>(owner->jobs_age()).count());
         daemon_metrics.set("lacewingquay_active_jobs", "Jobs that are not finished.",
                            static_cast<double>(owner->job_scheduler().active_jobs()));
     }
--- a/src/manager/order_permission.hpp
+++ b/src/manager/order_permission.hpp
@@ -17,6 +17,8 @@
     bool isolated = false;
     /// Time since the latest call to the store that failed was made.
     milliseconds outage_age{0};
+    /// Age of what this host has read of callers' jobs. Later cancellations are not known yet.
+    milliseconds jobs_age{0};
 };
 
 /// Settings of the permissions of an owner. Each age stays below the time after which another host
@@ -34,6 +36,9 @@
     /// A failed call shows that the store is unavailable for this long: longer than the calls of an
     /// outage are apart, and shorter than a takeover plus the time above.
     milliseconds outage_age{3'000};
+    /// Starts: a task must not start long after its job was cancelled. Longer than it takes to
+    /// repeat a poll for new jobs whose answer was lost.
+    milliseconds jobs_age{2'000};
 };
 
 /// True if an order to a machine may be sent now.
@@ -43,11 +48,18 @@
     return evidence.confirmed_age < values.machine_order_age;
 }
 
+/// True if this host would know of a job that was cancelled longer ago than `values.jobs_age`.
+[[nodiscard]] constexpr bool knows_cancelled_jobs(const ownership_evidence& evidence,
+                                                  const permission_settings& values = {})
+{
+    return evidence.jobs_age < values.jobs_age;
+}
+
 /// True if a start order may be sent now.
 [[nodiscard]] constexpr bool may_start_runs(const ownership_evidence& evidence,
                                             const permission_settings& values = {})
 {
-    return evidence.confirmed_age < values.start_age;
+    return evidence.confirmed_age < values.start_age && knows_cancelled_jobs(evidence, values);
 }
 
 /// True if leases may be extended now. During an outage of the whole store no host can take over,
--- a/src/manager/owner_session.cpp
+++ b/src/manager/owner_session.cpp
@@ -276,6 +276,11 @@
                                   shared_.store_time());
         }
     }
+    if (loaded_)
+    {
+        // Not left to the commit loop, which may be waiting for a transaction.
+        send_stops();
+    }
     wake_timer_.cancel();
 }
 
@@ -451,6 +456,30 @@
     return keys;
 }
 
+bool owner_session::may_plan_starts()
+{
+    const bool held = !knows_cancelled_jobs(evidence());
+    if (held != starts_held_)
+    {
+        starts_held_ = held;
+        log_event(log_level::warning, held ? "starts_held" : "starts_resumed",
+                  {{"term", term_}, {"jobs_age_ms", jobs_age().count()}});
+    }
+    return !held;
+}
+
+void owner_session::send_stops()
+{
+    for (worker::stop_order& order : scheduler_.take_stops(shared_.now()))
+    {
+        boost::asio::co_spawn(
+            shared_.io,
+            [self = shared_from_this(), stop = std::move(order)]() mutable
+            { return self->send_stop(std::move(stop)); },
+            boost::asio::detached);
+    }
+}
+
 boost::asio::awaitable<void> owner_session::commit_loop()
 {
     const std::shared_ptr<owner_session> self = shared_from_this();
@@ -459,16 +488,9 @@
     {
         const steady_time now = shared_.now();
         scheduler_.advance(now, shared_.clock.wall_now(), shared_.store_time());
-        for (worker::stop_order& order : scheduler_.take_stops(now))
-        {
-            boost::asio::co_spawn(
-                shared_.io,
-                [self, stop = std::move(order)]() mutable
-                { return self->send_stop(std::move(stop)); },
-                boost::asio::detached);
-        }
+        send_stops();
         const bool renew = commit_in_doubt_ || releasing_ || now - last_renewal_ >= timing.renewal;
-        const std::size_t max_starts = starts_.available();
+        const std::size_t max_starts = may_plan_starts() ? starts_.available() : 0;
         // While the store rejects transactions, the ownership is renewed by others.
         const bool renew_alone = renew && progress_rows_ < max_progress_rows;
         const scheduler::batch work =
--- a/src/manager/owner_session.hpp
+++ b/src/manager/owner_session.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -70,7 +71,14 @@
         const steady_time now = shared_.now();
         return {std::chrono::duration_cast<milliseconds>(now - confirmed_at_),
                 shared_.store_unavailable, shared_.isolated,
-                std::chrono::duration_cast<milliseconds>(now - shared_.failed_call_made)};
+                std::chrono::duration_cast<milliseconds>(now - shared_.failed_call_made),
+                jobs_age()};
+    }
+
+    /// Age of what this host has read of callers' jobs.
+    [[nodiscard]] milliseconds jobs_age() const
+    {
+        return std::max(milliseconds(0), shared_.store_time() - covered_.store_time);
     }
 
     /// True if orders to machines may be sent now.
@@ -99,6 +107,10 @@
     void finish_start(std::optional<milliseconds> delay);
     boost::asio::awaitable<void> request_advice();
     boost::asio::awaitable<void> send_stop(worker::stop_order order);
+    /// Sends the stop orders that are due.
+    void send_stops();
+    /// False while this host may not know which jobs are cancelled.
+    [[nodiscard]] bool may_plan_starts();
     void apply_servers(const std::vector<adapter::row>& rows, bool is_snapshot);
     void apply_jobs(const std::vector<adapter::row>& rows);
     void apply_job(const adapter::row& row);
@@ -153,6 +165,8 @@
     std::size_t progress_rows_;
     /// Start orders under way.
     send_window starts_;
+    /// No starts are planned, as what this host has read of callers' jobs is too old.
+    bool starts_held_ = false;
     /// More start orders may be waiting for `starts_` to permit them.
     bool starts_exhausted_ = false;
     session_counters counters_;
--- a/tests/manager/order_permission_test.cpp
+++ b/tests/manager/order_permission_test.cpp
@@ -50,6 +50,19 @@
           ownership_settings{}.failure_timeout + scheduler::settings{}.takeover_slack);
 }
 
+TEST_CASE("nothing is started by an owner that may not know of cancellations", "[manager]")
+{
+    // Guards against starts, by an overloaded owner, of jobs that were cancelled seconds before.
+    ownership_evidence evidence{milliseconds(100), false, false};
+    evidence.jobs_age = milliseconds(1'900);
+    CHECK(may_start_runs(evidence));
+    evidence.jobs_age = milliseconds(2'100);
+    CHECK_FALSE(may_start_runs(evidence));
+    // Runs that are at work go on, and machines of waves are ordered.
+    CHECK(may_extend_leases(evidence));
+    CHECK(may_order_machines(evidence));
+}
+
 TEST_CASE("the suspend-aware clock counts the time in which the machine is suspended", "[manager]")
 {
     const suspend_aware_clock_source clock;
--- a/tests/manager/owner_overload_test.cpp
+++ b/tests/manager/owner_overload_test.cpp
@@ -15,6 +15,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 using namespace lacewingquay;
 using namespace lacewingquay::manager;
@@ -49,6 +50,20 @@
     {
         const std::string target(received.target());
         const bool is_read = target.find("rows-get") != std::string::npos;
+        if (target.find("rows-feed?table=jobs") != std::string::npos)
+        {
+            if (feed_fails)
+            {
+                co_return http::make_response(http::status::service_unavailable, "{}");
+            }
+            co_return make_reply({{"rows", std::exchange(changed_jobs, {})},
+                                  {"row-version", version},
+                                  {"now-ms", clock_now()}});
+        }
+        if (!is_read && target.find("rows-tx") != std::string::npos && commit_time.count() > 0)
+        {
+            co_await wait_until(std::chrono::steady_clock::now() + commit_time);
+        }
         boost::json::array rows;
         if (is_read && target.find("table=servers") != std::string::npos)
         {
@@ -71,7 +86,8 @@
             renewals += renews ? 1 : 0;
             ++version;
         }
-        co_return make_reply({{"rows", std::move(rows)}, {"row-version", version}, {"now-ms", 1}});
+        co_return make_reply(
+            {{"rows", std::move(rows)}, {"row-version", version}, {"now-ms", clock_now()}});
     }
 
     static boost::json::object make_row(std::string_view table, const std::string& key,
@@ -91,6 +107,11 @@
     std::string rejected_key = "none";
     int rejections = 0;
     int renewals = 0;
+    /// The feed of the jobs table answers with an error.
+    bool feed_fails = false;
+    /// Delivered by the next call of that feed.
+    boost::json::array changed_jobs;
+    milliseconds commit_time{0};
 };
 
 /// Backend servers behind a link that passes one call at a time. A call that its sender gives up is
@@ -126,6 +147,7 @@
         {
             closed = std::max(closed, run);
             running[server].erase(task);
+            stopped_at = std::chrono::steady_clock::now();
         }
         else if (run > closed && running[server][task] != run)
         {
@@ -150,6 +172,7 @@
     std::map<std::string, std::map<std::string, std::int64_t>> running;
     std::map<std::string, std::map<std::string, std::int64_t>> closed_runs;
     std::size_t starts = 0;
+    std::chrono::steady_clock::time_point stopped_at{};
 };
 
 template <typename Handler>
@@ -286,3 +309,36 @@
     CHECK(owner.servers.running_tasks() == 20);
     CHECK_FALSE(owner.session->ended());
 }
+
+TEST_CASE("an owner that cannot read the jobs starts nothing until it can", "[manager]")
+{
+    // Guards against starts of jobs that were cancelled while the owner's reads failed.
+    overloaded_owner owner(4, 2);
+    REQUIRE(owner.time_to_run(2, milliseconds(3'000)) < milliseconds(3'000));
+    owner.store.feed_fails = true;
+    owner.time_to_run(3, milliseconds(2'500));
+    CHECK(owner.session->jobs_age() >= milliseconds(2'000));
+    CHECK_FALSE(may_start_runs(owner.session->evidence()));
+    owner.store.feed_fails = false;
+    owner.time_to_run(3, milliseconds(800));
+    CHECK(may_start_runs(owner.session->evidence()));
+}
+
+TEST_CASE("the runs of a cancelled job are stopped while a transaction is under way", "[manager]")
+{
+    // Guards against runs that go on until the owner's transaction on a slow store has ended.
+    overloaded_owner owner(4, 2);
+    REQUIRE(owner.time_to_run(2, milliseconds(3'000)) < milliseconds(3'000));
+    owner.store.commit_time = milliseconds(1'000);
+    const int renewals = owner.store.renewals;
+    while (owner.store.renewals == renewals)
+    {
+        owner.time_to_run(3, milliseconds(10));
+    }
+    owner.time_to_run(3, milliseconds(100));
+    const std::chrono::steady_clock::time_point cancelled_at = std::chrono::steady_clock::now();
+    owner.store.changed_jobs.push_back(stand_in_store::make_row("jobs", "c/job", "{}"));
+    owner.time_to_run(3, milliseconds(700));
+    CHECK(owner.servers.running_tasks() == 0);
+    CHECK(owner.servers.stopped_at - cancelled_at < milliseconds(500));
+}
