--- a/tests/adapter/odd_entries_test.cpp
+++ b/tests/adapter/odd_entries_test.cpp
@@ -151,6 +151,8 @@
     }
     CHECK_FALSE(parsed<worker::server>(
         [] { return parse_server(std::string(201, 'a'), server_text("m1")); }));
+    CHECK_FALSE(parsed<worker::server>(
+        [] { return parse_server("i-7f", server_text(std::string(60'000, 'm'))); }));
     CHECK(parsed<worker::server>([] { return parse_server("i-7f", server_text("m1")); }));
 }
 
