--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -271,7 +271,9 @@
     [[nodiscard]] bool is_held_back(const job_state& job) const { return now_ < job.held_until; }
     /// Adds rows of the job to the batch; returns false once the batch is full.
     bool add_rows(job_state& job, std::size_t max_rows, std::size_t& bytes, batch& result);
+    /// Text of a progress row; what does not fit into a row is left out.
     [[nodiscard]] std::string row_text(job_state& job, std::int64_t row) const;
+    /// Adds the ends of runs whose effect is stored.
     void add_acknowledgements(batch& result) const;
     [[nodiscard]] bool find_task(const worker::task_name& name, task_ref& ref);
     [[nodiscard]] server_state& server_entry(const std::string& id, std::int64_t born);
