--- a/tests/manager/job_api_test.cpp
+++ b/tests/manager/job_api_test.cpp
@@ -116,9 +116,10 @@
         std::map<std::string, unsigned> answers;
         for (const std::string& id : ids)
         {
-            boost::asio::co_spawn(io, callers->handle(make_submission(id, body)),
-                                  [&answers, id](const std::exception_ptr&, http::response answer)
-                                  { answers[id] = answer.result_int(); });
+            boost::asio::co_spawn(
+                io, callers->handle(make_submission(id, body)),
+                [&answers, id](const std::exception_ptr&, const http::response& answer)
+                { answers[id] = answer.result_int(); });
         }
         const std::chrono::steady_clock::time_point deadline =
             std::chrono::steady_clock::now() + std::chrono::seconds(10);
