Log when a cancellation is read, and each stop that is sent or fails

No change of behaviour. Callers saw tasks of cancelled jobs run on, and no line told whether the owner learned of the cancellation late, or its stop was late.

A cancellation now names its time, so that job_ended says how old it was when the owner read it (cancel_age_ms), and the histogram lacewingquay_cancel_read_seconds counts it; rows without a time are read as before. stops_sent, stop_failed, run_unexpected and job_stopped tell when stops became due, their attempts and outcomes, and when the last run had ended. Two gauges count stops that are repeated and that get no answer.

--- a/src/job/record_text.cpp
+++ b/src/job/record_text.cpp
@@ -9,6 +9,13 @@
 
 namespace json = boost::json;
 
+namespace
+{
+
+constexpr std::int64_t max_time_ms = 1'000'000'000'000;
+
+} // namespace
+
 std::string serialize_record(const record_header& header, std::string_view body)
 {
     const json::object line{{"host", header.source_queue.host},
@@ -25,7 +32,6 @@
 
 boost::leaf::result<parsed_record> parse_record(std::string_view text)
 {
-    constexpr std::int64_t max_time_ms = 1'000'000'000'000;
     parsed_record result;
     const std::size_t end = text.find('\n');
     if (end == std::string_view::npos)
@@ -54,4 +60,22 @@
     return result;
 }
 
+std::string serialize_cancellation(std::chrono::milliseconds cancelled)
+{
+    return json::serialize(json::object{{"cancelled_ms", cancelled.count()}});
+}
+
+boost::leaf::result<std::optional<std::chrono::milliseconds>>
+parse_cancellation(std::string_view text)
+{
+    BOOST_LEAF_AUTO(body, parse_json_object(text, "cancellation"));
+    if (!body.contains("cancelled_ms"))
+    {
+        return std::optional<std::chrono::milliseconds>();
+    }
+    json_reader reader(body, "cancellation");
+    BOOST_LEAF_AUTO(cancelled, reader.integer("cancelled_ms", 0, max_time_ms));
+    return std::optional<std::chrono::milliseconds>(cancelled);
+}
+
 } // namespace lacewingquay::job
--- a/src/job/record_text.hpp
+++ b/src/job/record_text.hpp
@@ -5,6 +5,7 @@
 #include <boost/leaf.hpp>
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -32,4 +33,12 @@
 /// Parses the text of `serialize_record`; fails with `input_error`. The body refers to `text`.
 [[nodiscard]] boost::leaf::result<parsed_record> parse_record(std::string_view text);
 
+/// Returns the text of a stored cancellation; `cancelled` is on the store's steady clock.
+[[nodiscard]] std::string serialize_cancellation(std::chrono::milliseconds cancelled);
+
+/// Parses the text of `serialize_cancellation`; fails with `input_error`. Nothing if the text does
+/// not name the time, as that of earlier versions.
+[[nodiscard]] boost::leaf::result<std::optional<std::chrono::milliseconds>>
+parse_cancellation(std::string_view text);
+
 } // namespace lacewingquay::job
--- a/src/manager/job_api.cpp
+++ b/src/manager/job_api.cpp
@@ -318,7 +318,8 @@
         }
     }
     const adapter::commit_outcome outcome =
-        co_await store_row(std::string(cancel_prefix) + id, "{}", false, deadline);
+        co_await store_row(std::string(cancel_prefix) + id,
+                           job::serialize_cancellation(shared_.store_time()), false, deadline);
     log_event(log_level::info, "job_cancel",
               {{"job", id}, {"stored", outcome == adapter::commit_outcome::done}});
     if (outcome == adapter::commit_outcome::done)
--- a/src/manager/metrics.cpp
+++ b/src/manager/metrics.cpp
@@ -15,6 +15,10 @@
 const prometheus::Histogram::BucketBoundaries job_buckets{0.5, 1.0, 1.5,  2.0,  3.0,  4.0,
                                                           6.0, 9.0, 15.0, 30.0, 60.0, 120.0};
 
+/// Upper bounds in seconds, up to the time by which nothing of a cancelled job may be started.
+const prometheus::Histogram::BucketBoundaries cancellation_buckets{0.05, 0.1, 0.2, 0.5,
+                                                                   1.0,  2.0, 3.0, 4.0};
+
 } // namespace
 
 metrics::metrics()
@@ -30,6 +34,10 @@
                      .Name("lacewingquay_job_seconds")
                      .Help("Time from a job's acceptance until its final state was stored.")
                      .Register(registry_)),
+      cancellation_times_(prometheus::BuildHistogram()
+                              .Name("lacewingquay_cancel_read_seconds")
+                              .Help("Time from a cancellation until the owner has read it.")
+                              .Register(registry_)),
       count_refreshes_(prometheus::BuildCounter()
                            .Name("lacewingquay_count_refreshes_total")
                            .Help("Attempts to bring the counts of waiting jobs up to date.")
@@ -51,6 +59,12 @@
         .Observe(std::chrono::duration<double>(time).count());
 }
 
+void metrics::observe_cancellation(milliseconds time)
+{
+    cancellation_times_.Add({}, cancellation_buckets)
+        .Observe(std::chrono::duration<double>(time).count());
+}
+
 void metrics::observe_count_refresh(std::string_view outcome)
 {
     count_refreshes_.Add({{"outcome", std::string(outcome)}}).Increment();
--- a/src/manager/metrics.hpp
+++ b/src/manager/metrics.hpp
@@ -28,6 +28,9 @@
     /// Records the time from a job's acceptance until its final state was stored.
     void observe_job(std::string_view state, milliseconds time);
 
+    /// Records the time from a caller's cancellation until the owner has read it.
+    void observe_cancellation(milliseconds time);
+
     /// Records an attempt to bring the counts of waiting jobs up to date, and its outcome.
     void observe_count_refresh(std::string_view outcome);
 
@@ -45,6 +48,7 @@
     prometheus::Family<prometheus::Counter>& answers_;
     prometheus::Family<prometheus::Histogram>& answer_times_;
     prometheus::Family<prometheus::Histogram>& job_times_;
+    prometheus::Family<prometheus::Histogram>& cancellation_times_;
     prometheus::Family<prometheus::Counter>& count_refreshes_;
     std::map<std::string, prometheus::Gauge*> gauges_;
     std::map<std::string, prometheus::Counter*> totals_;
--- a/src/manager/metrics_collection.cpp
+++ b/src/manager/metrics_collection.cpp
@@ -33,6 +33,12 @@
                            static_cast<double>(work.starts));
         daemon_metrics.set("lacewingquay_session_stops", "Orders to stop in this term.",
                            static_cast<double>(work.stops));
+        daemon_metrics.set("lacewingquay_session_repeated_stops",
+                           "Orders to stop in this term that repeat an earlier one.",
+                           static_cast<double>(work.repeated_stops));
+        daemon_metrics.set("lacewingquay_session_unanswered_stops",
+                           "Orders to stop in this term that were not answered.",
+                           static_cast<double>(work.unanswered_stops));
         daemon_metrics.set("lacewingquay_session_looks", "Looks at servers in this term.",
                            static_cast<double>(work.polls));
         daemon_metrics.set("lacewingquay_jobs_age_seconds",
--- a/src/manager/owner_session.cpp
+++ b/src/manager/owner_session.cpp
@@ -44,6 +44,33 @@
 constexpr milliseconds clean_interval{10'000};
 constexpr std::size_t max_clean_entries = 90;
 
+/// Writes one line for each job, as a cancelled job may have many runs.
+void log_stops(std::span<const worker::stop_order> orders)
+{
+    struct summary
+    {
+        std::size_t runs = 0;
+        std::size_t repeated = 0;
+        milliseconds due_for{0};
+    };
+    std::map<std::string_view, summary> jobs;
+    for (const worker::stop_order& order : orders)
+    {
+        summary& job = jobs[order.task.job];
+        ++job.runs;
+        job.repeated += order.attempt > 1 ? 1 : 0;
+        job.due_for = std::max(job.due_for, order.due_for);
+    }
+    for (const std::pair<const std::string_view, summary>& entry : jobs)
+    {
+        log_event(log_level::info, "stops_sent",
+                  {{"job", entry.first},
+                   {"runs", entry.second.runs},
+                   {"repeated", entry.second.repeated},
+                   {"due_for_ms", entry.second.due_for.count()}});
+    }
+}
+
 scheduler::settings scheduler_settings(const settings& values)
 {
     scheduler::settings result;
@@ -258,6 +285,25 @@
     }
 }
 
+void owner_session::apply_cancellation(const adapter::row& row)
+{
+    const milliseconds now = shared_.store_time();
+    const std::optional<std::optional<milliseconds>> cancelled =
+        parse_or_log("cancellation_unreadable", row.key, row.version,
+                     [&] { return job::parse_cancellation(row.value); });
+    std::optional<milliseconds> age;
+    if (cancelled && *cancelled)
+    {
+        age = std::max(milliseconds(0), now - **cancelled);
+    }
+    // A takeover reads the cancellations of former terms too.
+    if (age && loaded_)
+    {
+        shared_.daemon_metrics.observe_cancellation(*age);
+    }
+    scheduler_.cancel_job(std::string_view(row.key).substr(cancel_prefix.size()), now, age);
+}
+
 void owner_session::apply_jobs(const std::vector<adapter::row>& rows)
 {
     for (const adapter::row& row : rows)
@@ -272,8 +318,7 @@
     {
         if (!row.removed && row.key.starts_with(cancel_prefix))
         {
-            scheduler_.cancel_job(std::string_view(row.key).substr(cancel_prefix.size()),
-                                  shared_.store_time());
+            apply_cancellation(row);
         }
     }
     if (loaded_)
@@ -470,8 +515,11 @@
 
 void owner_session::send_stops()
 {
-    for (worker::stop_order& order : scheduler_.take_stops(shared_.now()))
+    std::vector<worker::stop_order> orders = scheduler_.take_stops(shared_.now());
+    log_stops(orders);
+    for (worker::stop_order& order : orders)
     {
+        counters_.repeated_stops += order.attempt > 1 ? 1 : 0;
         boost::asio::co_spawn(
             shared_.io,
             [self = shared_from_this(), stop = std::move(order)]() mutable
--- a/src/manager/owner_session.hpp
+++ b/src/manager/owner_session.hpp
@@ -30,6 +30,10 @@
 {
     std::uint64_t starts = 0;
     std::uint64_t stops = 0;
+    /// Stop orders that repeat an earlier one.
+    std::uint64_t repeated_stops = 0;
+    /// Stop orders without an answer.
+    std::uint64_t unanswered_stops = 0;
     std::uint64_t polls = 0;
 };
 
@@ -114,6 +118,7 @@
     void apply_servers(const std::vector<adapter::row>& rows, bool is_snapshot);
     void apply_jobs(const std::vector<adapter::row>& rows);
     void apply_job(const adapter::row& row);
+    void apply_cancellation(const adapter::row& row);
     /// The stored progress of a job, from all of its rows; nothing if there is none.
     [[nodiscard]] std::optional<job::progress> read_progress(const std::string& id);
     void start_scheduling();
--- a/src/manager/owner_session_orders.cpp
+++ b/src/manager/owner_session_orders.cpp
@@ -197,6 +197,7 @@
         end("a server has seen a higher fencing token");
         co_return;
     }
+    counters_.unanswered_stops += result.outcome == worker::order_outcome::unknown ? 1 : 0;
     scheduler_.stop_answered(order, result.outcome, shared_.now());
     wake_server(order.server);
 }
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -199,8 +199,7 @@
         task.resolve_after = now;
         if (job::is_final(job.reported_state))
         {
-            task.stop_wanted = true;
-            stops_.push_back(ref);
+            request_stop(ref);
         }
     }
     job.dirty_rows.clear();
@@ -329,6 +328,12 @@
     task.at_full_speed = false;
     task.stop_wanted = false;
     --ref.job->runs;
+    if (ref.job->runs == 0 && ref.job->reported_state == job::state::cancelled)
+    {
+        log_event(
+            log_level::info, "job_stopped",
+            {{"job", ref.job->record.id}, {"after_ms", (store_time_ - ref.job->ended).count()}});
+    }
     plan_needed_ = true;
 }
 
@@ -386,7 +391,20 @@
     }
 }
 
-void scheduler::finish_job(job_state& job, job::state reported_state)
+void scheduler::request_stop(const task_ref& ref)
+{
+    task_state& task = ref.task();
+    if (!task.stop_wanted)
+    {
+        task.stop_wanted = true;
+        task.stop_due = now_;
+        task.stop_attempts = 0;
+    }
+    stops_.push_back(ref);
+}
+
+void scheduler::finish_job(job_state& job, job::state reported_state,
+                           std::optional<milliseconds> cancel_age)
 {
     job.reported_state = reported_state;
     job.ended = store_time_;
@@ -396,11 +414,15 @@
     {
         mark_dirty(job, row);
     }
-    log_event(log_level::info, "job_ended",
-              {{"job", job.record.id},
-               {"queue", job.record.queue.name},
-               {"state", job::state_name(reported_state)},
-               {"runs", job.runs}});
+    boost::json::object fields{{"job", job.record.id},
+                               {"queue", job.record.queue.name},
+                               {"state", job::state_name(reported_state)},
+                               {"runs", job.runs}};
+    if (cancel_age)
+    {
+        fields["cancel_age_ms"] = cancel_age->count();
+    }
+    log_event(log_level::info, "job_ended", std::move(fields));
     for (std::size_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence)
     {
         std::vector<step_state>& steps = job.occurrences[occurrence].steps;
@@ -416,21 +438,21 @@
                 }
                 else if (has_run(task))
                 {
-                    task.stop_wanted = true;
-                    stops_.push_back(ref);
+                    request_stop(ref);
                 }
             }
         }
     }
 }
 
-void scheduler::cancel_job(std::string_view id, milliseconds store_time)
+void scheduler::cancel_job(std::string_view id, milliseconds store_time,
+                           std::optional<milliseconds> age)
 {
     store_time_ = std::max(store_time_, store_time);
     const auto found = jobs_.find(std::string(id));
     if (found != jobs_.end() && !job::is_final(found->second->reported_state))
     {
-        finish_job(*found->second, job::state::cancelled);
+        finish_job(*found->second, job::state::cancelled, age);
     }
 }
 
@@ -527,6 +549,13 @@
         entry.run = run;
         entry.noticed = now_;
         entry.stop_sent = {};
+        entry.stop_attempts = 0;
+        log_event(log_level::info, "run_unexpected",
+                  {{"job", name.job},
+                   {"step", name.position.step},
+                   {"index", name.position.index},
+                   {"run", run},
+                   {"server", server.info.id}});
     }
     task_ref ref;
     if (find_task(name, ref) && ref.task().server != &server && entry.booked == job::resources{})
@@ -563,8 +592,7 @@
         }
         else if (has_run(task) && !task.stop_wanted)
         {
-            task.stop_wanted = true;
-            stops_.push_back(other);
+            request_stop(other);
         }
     }
 }
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -15,6 +15,7 @@
 #include <limits>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -82,8 +83,9 @@
     /// the store's steady clock.
     void add_ended(std::string_view id, milliseconds ended);
 
-    /// Cancels a job and stops its runs.
-    void cancel_job(std::string_view id, milliseconds store_time);
+    /// Cancels a job and stops its runs. `age` is the time since the caller cancelled it, if known.
+    void cancel_job(std::string_view id, milliseconds store_time,
+                    std::optional<milliseconds> age = std::nullopt);
 
     /// Adds a server or updates it from its current registration.
     void update_server(const worker::server& info, steady_time now);
@@ -215,10 +217,14 @@
     /// Ends the restored runs of servers that are known to have ended.
     void end_restored_runs(const job::progress& stored, steady_time now);
     void finish_task(const task_ref& ref);
-    void finish_job(job_state& job, job::state reported_state);
+    /// `cancel_age` is the time since the caller cancelled the job, if known.
+    void finish_job(job_state& job, job::state reported_state,
+                    std::optional<milliseconds> cancel_age = std::nullopt);
     void detach(const task_ref& ref);
     void attach(const task_ref& ref, server_state& server);
     void requeue(const task_ref& ref);
+    /// Has the task's run stopped.
+    void request_stop(const task_ref& ref);
     void apply_end(server_state& server, const worker::ended_task& ended, steady_time now);
     void stop_unexpected(server_state& server, const worker::task_name& name, int run);
     /// Finishes a task that an earlier run than the present one has done.
--- a/src/scheduler/scheduler_budget.cpp
+++ b/src/scheduler/scheduler_budget.cpp
@@ -99,9 +99,8 @@
                        {"away", unavailable_after},
                        {"budget", ref.definition().disruption_budget},
                        {"draining", server.info.draining}});
-            task.stop_wanted = true;
             task.stop_sent = {};
-            stops_.push_back(ref);
+            request_stop(ref);
         }
     }
 }
--- a/src/scheduler/scheduler_reports.cpp
+++ b/src/scheduler/scheduler_reports.cpp
@@ -233,8 +233,7 @@
     }
     if (outcome == order_outcome::unknown)
     {
-        task.stop_wanted = true;
-        stops_.push_back(ref);
+        request_stop(ref);
         return;
     }
     if (ref.definition().gang)
@@ -259,7 +258,20 @@
         end_incarnation(order.server, order.server_born, now);
         return;
     }
-    if (outcome != worker::order_outcome::accepted || !find_task(order.task, ref))
+    if (outcome != worker::order_outcome::accepted)
+    {
+        log_event(log_level::info, "stop_failed",
+                  {{"job", order.task.job},
+                   {"step", order.task.position.step},
+                   {"index", order.task.position.index},
+                   {"run", order.run},
+                   {"server", order.server},
+                   {"outcome", worker::outcome_name(outcome)},
+                   {"attempt", order.attempt},
+                   {"due_for_ms", order.due_for.count()}});
+        return;
+    }
+    if (!find_task(order.task, ref))
     {
         return;
     }
@@ -300,9 +312,15 @@
             continue;
         }
         task.stop_sent = now;
+        ++task.stop_attempts;
         const worker::server& info = task.server->info;
-        orders.push_back(
-            {info.id, info.born, info.endpoint, {ref.job->record.id, ref.position()}, task.run});
+        orders.push_back({info.id,
+                          info.born,
+                          info.endpoint,
+                          {ref.job->record.id, ref.position()},
+                          task.run,
+                          task.stop_attempts,
+                          std::chrono::duration_cast<milliseconds>(now - task.stop_due)});
     }
     stops_ = std::move(open);
     for (auto entry = unexpected_runs_.begin(); entry != unexpected_runs_.end();)
@@ -316,8 +334,11 @@
         if (now - entry->second.stop_sent >= settings_.stop_retry_interval)
         {
             entry->second.stop_sent = now;
-            orders.push_back({server->info.id, server->info.born, server->info.endpoint,
-                              entry->first.second, entry->second.run});
+            ++entry->second.stop_attempts;
+            orders.push_back(
+                {server->info.id, server->info.born, server->info.endpoint, entry->first.second,
+                 entry->second.run, entry->second.stop_attempts,
+                 std::chrono::duration_cast<milliseconds>(now - entry->second.noticed)});
         }
         ++entry;
     }
--- a/src/scheduler/scheduler_servers.cpp
+++ b/src/scheduler/scheduler_servers.cpp
@@ -205,9 +205,8 @@
         else if (has_run(task))
         {
             task.phase = task_phase::starting;
-            task.stop_wanted = true;
             task.stop_sent = {};
-            stops_.push_back(ref);
+            request_stop(ref);
         }
         else
         {
@@ -273,9 +272,8 @@
     if (is_stalled)
     {
         // The run is repeated once the server has reported its end.
-        task.stop_wanted = true;
         task.stop_sent = {};
-        stops_.push_back(ref);
+        request_stop(ref);
     }
 }
 
--- a/src/scheduler/state.hpp
+++ b/src/scheduler/state.hpp
@@ -58,7 +58,11 @@
     steady_time resolve_after{};
     /// The run has to be stopped.
     bool stop_wanted = false;
+    /// When its stop became due.
+    steady_time stop_due{};
     steady_time stop_sent{};
+    /// Stop orders sent since then.
+    int stop_attempts = 0;
     /// True for a long-running task that runs at full speed.
     bool at_full_speed = false;
     /// Reported progress of the latest run, in percent.
@@ -184,6 +188,8 @@
     /// Reports requested before this do not show that it has ended.
     steady_time noticed{};
     steady_time stop_sent{};
+    /// Stop orders sent so far.
+    int stop_attempts = 0;
     /// Capacity reserved for it until the server no longer lists it.
     job::resources booked;
 };
--- a/src/worker/model.hpp
+++ b/src/worker/model.hpp
@@ -124,6 +124,10 @@
     address endpoint;
     task_name task;
     int run = 0;
+    /// Number of this attempt, from 1.
+    int attempt = 1;
+    /// Time since the stop became due.
+    milliseconds due_for{0};
 };
 
 /// Why a call to a backend server brought no answer.
--- a/tests/job/job_test.cpp
+++ b/tests/job/job_test.cpp
@@ -176,3 +176,22 @@
     CHECK_FALSE(parsed<parsed_record>([] { return parse_record("no head"); }));
     CHECK_FALSE(parsed<parsed_record>([] { return parse_record("{}\n{}"); }));
 }
+
+TEST_CASE("a cancellation names its time, and one without a time can be read", "[job]")
+{
+    using cancellation = std::optional<std::chrono::milliseconds>;
+    const std::string text = serialize_cancellation(std::chrono::milliseconds(1'234));
+    const std::optional<cancellation> read =
+        parsed<cancellation>([&] { return parse_cancellation(text); });
+    REQUIRE(read);
+    CHECK(*read == std::chrono::milliseconds(1'234));
+    const std::optional<cancellation> unnamed =
+        parsed<cancellation>([] { return parse_cancellation("{}"); });
+    REQUIRE(unnamed);
+    CHECK_FALSE(*unnamed);
+    for (const std::string_view damaged :
+         {"", "[]", R"({"cancelled_ms":"soon"})", R"({"cancelled_ms":-1})"})
+    {
+        CHECK_FALSE(parsed<cancellation>([&] { return parse_cancellation(damaged); }));
+    }
+}
