Send stops when they are due, not when the owner's transaction has ended

Callers saw: a task of a cancelled job that ran on for longer than it may.

Cause: stops were sent where a cancellation is read and once in each round of the commit loop, which waits up to 1.2 s for a transaction. The second attempt of a stop without an answer, the stop after a start without an answer, that of a run which only a report shows, and the stops of evacuations and of gangs waited for it. Two such waits alone take 2.4 s of the 4 s within which a run must end.

Evidence: with transactions of 1.15 s, a run whose first two stops are lost was not stopped within 1.7 s, and a run that a report shows not within 0.5 s.

A loop of its own now looks every 0.1 s for stops that are due, and at once when a cancellation is read.

--- a/src/manager/owner_session.cpp
+++ b/src/manager/owner_session.cpp
@@ -27,6 +27,8 @@
 /// Longest time between two iterations of the commit loop, so that expired leases and due times
 /// are noticed.
 constexpr milliseconds max_round_interval{100};
+/// Longest time until a stop that has become due is sent or repeated.
+constexpr milliseconds stop_check_interval{100};
 /// Progress rows in one transaction; the other entries are its condition, the owner's rows and the
 /// removals of expired jobs.
 constexpr std::size_t max_progress_rows = 80;
@@ -85,8 +87,8 @@
                              steady_time confirmed_at)
     : shared_(shared), scheduler_(scheduler_settings(shared.config)), term_(term),
       owner_version_(owner_version), last_renewal_(confirmed_at), confirmed_at_(confirmed_at),
-      wake_timer_(shared.io.get_executor()), progress_rows_(max_progress_rows),
-      starts_(window_for(shared.config.resources))
+      wake_timer_(shared.io.get_executor()), stop_timer_(shared.io.get_executor()),
+      progress_rows_(max_progress_rows), starts_(window_for(shared.config.resources))
 {
 }
 
@@ -108,6 +110,7 @@
     ended_ = true;
     log_event(log_level::warning, "ownership_ended", {{"term", term_}, {"reason", reason}});
     wake_timer_.cancel();
+    stop_timer_.cancel();
     for (const auto& entry : poll_timers_)
     {
         entry.second->cancel();
@@ -207,6 +210,8 @@
                {"servers", scheduler_.servers().size()}});
     boost::asio::co_spawn(
         shared_.io, [self] { return self->commit_loop(); }, boost::asio::detached);
+    boost::asio::co_spawn(
+        shared_.io, [self] { return self->stop_loop(); }, boost::asio::detached);
     boost::asio::co_spawn(
         shared_.io, [self] { return self->clean_loop(); }, boost::asio::detached);
     boost::asio::co_spawn(
@@ -321,11 +326,7 @@
             apply_cancellation(row);
         }
     }
-    if (loaded_)
-    {
-        // Not left to the commit loop, which may be waiting for a transaction.
-        send_stops();
-    }
+    stop_timer_.cancel();
     wake_timer_.cancel();
 }
 
@@ -528,6 +529,17 @@
     }
 }
 
+boost::asio::awaitable<void> owner_session::stop_loop()
+{
+    const std::shared_ptr<owner_session> self = shared_from_this();
+    while (!ended_)
+    {
+        send_stops();
+        stop_timer_.expires_after(stop_check_interval);
+        co_await stop_timer_.async_wait(nothrow_awaitable);
+    }
+}
+
 boost::asio::awaitable<void> owner_session::commit_loop()
 {
     const std::shared_ptr<owner_session> self = shared_from_this();
@@ -536,7 +548,6 @@
     {
         const steady_time now = shared_.now();
         scheduler_.advance(now, shared_.clock.wall_now(), shared_.store_time());
-        send_stops();
         const bool renew = commit_in_doubt_ || releasing_ || now - last_renewal_ >= timing.renewal;
         const std::size_t max_starts = may_plan_starts() ? starts_.available() : 0;
         // While the store rejects transactions, the ownership is renewed by others.
--- a/src/manager/owner_session.hpp
+++ b/src/manager/owner_session.hpp
@@ -111,6 +111,8 @@
     void finish_start(std::optional<milliseconds> delay);
     boost::asio::awaitable<void> request_advice();
     boost::asio::awaitable<void> send_stop(worker::stop_order order);
+    /// Sends stop orders as soon as they are due, whatever the commit loop waits for.
+    boost::asio::awaitable<void> stop_loop();
     /// Sends the stop orders that are due.
     void send_stops();
     /// False while this host may not know which jobs are cancelled.
@@ -158,6 +160,8 @@
     /// When the latest transaction that confirmed the ownership was requested.
     steady_time confirmed_at_{};
     boost::asio::steady_timer wake_timer_;
+    /// Of the stop loop.
+    boost::asio::steady_timer stop_timer_;
     std::map<std::string, std::shared_ptr<boost::asio::steady_timer>> poll_timers_;
     /// Requests to the advice service that have not been sent yet.
     std::deque<scheduler::advice_request> advice_requests_;
--- a/tests/manager/owner_overload_test.cpp
+++ b/tests/manager/owner_overload_test.cpp
@@ -129,8 +129,9 @@
         if (target == "/lacewingquay/hold")
         {
             const boost::json::value* wait = body.if_contains("wait-ms");
+            const bool waits = waits_for_ends && wait != nullptr;
             co_await wait_until(std::chrono::steady_clock::now() +
-                                milliseconds(wait == nullptr ? 0 : wait->as_int64()));
+                                milliseconds(waits ? wait->as_int64() : 0));
             boost::json::array list;
             for (const auto& entry : running[server])
             {
@@ -143,7 +144,12 @@
         const std::string task(body.at("task").as_string());
         const std::int64_t run = body.at("run").as_int64();
         std::int64_t& closed = closed_runs[server][task];
-        if (target == "/lacewingquay/run-stop")
+        if (target == "/lacewingquay/run-stop" && lost_stops > 0)
+        {
+            --lost_stops;
+            co_await wait_until(std::chrono::steady_clock::now() + std::chrono::seconds(5));
+        }
+        else if (target == "/lacewingquay/run-stop")
         {
             closed = std::max(closed, run);
             running[server].erase(task);
@@ -173,6 +179,10 @@
     std::map<std::string, std::map<std::string, std::int64_t>> closed_runs;
     std::size_t starts = 0;
     std::chrono::steady_clock::time_point stopped_at{};
+    /// So many stop orders are neither executed nor answered.
+    int lost_stops = 0;
+    /// Polls are answered once a run ends or their wait is over, else at once.
+    bool waits_for_ends = true;
 };
 
 template <typename Handler>
@@ -239,6 +249,31 @@
             "jobs", "j/" + id, job::serialize_record({queue, milliseconds(1)}, body)));
     }
 
+    /// Returns just after the owner has sent a transaction that takes 1.15 s, as do all that
+    /// follow.
+    void begin_slow_transaction()
+    {
+        store.commit_time = milliseconds(1'150);
+        const int renewals = store.renewals;
+        while (store.renewals == renewals)
+        {
+            time_to_run(servers.running_tasks() + 1, milliseconds(10));
+        }
+        time_to_run(servers.running_tasks() + 1, milliseconds(100));
+    }
+
+    /// Returns after which time at most `tasks` tasks were running, or `limit`.
+    milliseconds time_to_stop(std::size_t tasks, milliseconds limit)
+    {
+        const std::chrono::steady_clock::time_point started = std::chrono::steady_clock::now();
+        while (servers.running_tasks() > tasks &&
+               std::chrono::steady_clock::now() < started + limit)
+        {
+            io.run_one_until(started + limit);
+        }
+        return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - started);
+    }
+
     /// Returns after which time `tasks` tasks were running, or `limit`.
     milliseconds time_to_run(std::size_t tasks, milliseconds limit)
     {
@@ -342,3 +377,28 @@
     CHECK(owner.servers.running_tasks() == 0);
     CHECK(owner.servers.stopped_at - cancelled_at < milliseconds(500));
 }
+
+TEST_CASE("stops without an answer are repeated while transactions are under way", "[manager]")
+{
+    constexpr milliseconds limit{1'700};
+    overloaded_owner owner(4, 1);
+    REQUIRE(owner.time_to_run(1, milliseconds(3'000)) < milliseconds(3'000));
+    owner.begin_slow_transaction();
+    owner.servers.lost_stops = 2;
+    owner.store.changed_jobs.push_back(stand_in_store::make_row("jobs", "c/job", "{}"));
+    CHECK(owner.time_to_stop(0, limit) < limit);
+    CHECK(owner.servers.lost_stops == 0);
+}
+
+TEST_CASE("a run that only a report shows is stopped while a transaction is under way", "[manager]")
+{
+    constexpr milliseconds limit{500};
+    overloaded_owner owner(1, 1);
+    REQUIRE(owner.time_to_run(1, milliseconds(3'000)) < milliseconds(3'000));
+    owner.servers.waits_for_ends = false;
+    owner.time_to_run(2, milliseconds(1'200));
+    owner.begin_slow_transaction();
+    owner.servers.running["s0"]["other.0.0.0"] = 1;
+    CHECK(owner.time_to_stop(1, limit) < limit);
+    CHECK_FALSE(owner.servers.running["s0"].contains("other.0.0.0"));
+}
