Read an answer of the store to its end while it goes on arriving

Callers saw: tasks of cancelled jobs that start and run on, as an owner with a narrow link does not learn of cancellations.

Cause: a read of the store was given up 0.8 s after its wait, however much of the answer had arrived. A page has up to 1 MB, which takes 0.8 s of a link of 10 Mbit/s without any other traffic.

A call without any answer ends as before, so that lost answers are noticed as early.

Whether this delayed the record's owner is not known.

--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -28,6 +28,11 @@
     std::function<bool()> may_start;
     /// The whole answer is read before this.
     std::chrono::steady_clock::time_point deadline = std::chrono::steady_clock::time_point::max();
+    /// An answer that arrives in parts is read beyond `deadline` as long as no part of it is later
+    /// than this after the one before; zero if `deadline` holds for all of it.
+    std::chrono::milliseconds idle_timeout{0};
+    /// Limit of `idle_timeout`: the answer is given up this long after `deadline`.
+    std::chrono::milliseconds max_extension{0};
     /// Largest accepted body of the answer, in bytes.
     std::size_t body_limit = 16U << 20U;
 };
@@ -98,8 +103,12 @@
 private:
     boost::asio::awaitable<bool> connect(std::chrono::steady_clock::time_point deadline,
                                          exchange_result& result);
-    boost::asio::awaitable<void> read_answer(bool is_head, std::size_t body_limit,
+    boost::asio::awaitable<void> read_answer(bool is_head, const exchange_limits& limits,
                                              exchange_result& result);
+    /// Reads one message. The deadline moves as `limits` say while it arrives.
+    template <typename Parser>
+    boost::asio::awaitable<boost::system::error_code> read_message(Parser& parser,
+                                                                   const exchange_limits& limits);
     void fail(exchange_result& result, exchange_failure failure, std::string reason);
     /// True if the server has closed the idle connection or sent something unasked.
     [[nodiscard]] bool is_stale();
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -55,10 +55,16 @@
                                                               std::chrono::milliseconds timeout,
                                                               std::function<bool()> may_start)
 {
-    std::unique_ptr<client_connection> connection = take(server);
     exchange_limits limits;
     limits.deadline = std::chrono::steady_clock::now() + timeout;
     limits.may_start = std::move(may_start);
+    co_return co_await call(server, std::move(message), std::move(limits));
+}
+
+boost::asio::awaitable<exchange_result>
+connection_pool::call(const address& server, request message, exchange_limits limits)
+{
+    std::unique_ptr<client_connection> connection = take(server);
     exchange_result result = co_await connection->exchange(std::move(message), std::move(limits));
     if (connection->is_open())
     {
--- a/src/http/connection_pool.hpp
+++ b/src/http/connection_pool.hpp
@@ -43,6 +43,10 @@
                                                  std::chrono::milliseconds timeout,
                                                  std::function<bool()> may_start);
 
+    /// As above, with all limits of the exchange.
+    boost::asio::awaitable<exchange_result> call(const address& server, request message,
+                                                 exchange_limits limits);
+
     /// Connections opened so far.
     [[nodiscard]] std::uint64_t opened() const { return opened_; }
 
