Simulate lost and late stops, and check that cancelled runs end in time

The scheduler's simulation delivered each stop at once and answered it. Stops are now lost, answered in vain or carried out 0.2 s to 4 s late, and the servers' capacity changes at random times.

Once an owner knows of a cancellation, each run of the job on a server that the owner can reach must have ended after the interval of reports and one step, or after stop_retry_interval and one step since its latest stop that was lost or late. Times without an owner or without a connection to the server start over.

Gangs are left out: the simulation lets members of one gang end differently, which its other checks report.

--- a/tests/scheduler/scheduler_simulation.cpp
+++ b/tests/scheduler/scheduler_simulation.cpp
@@ -68,6 +68,7 @@
 
 void scheduler_simulation::add_servers(int count, job::resources capacity)
 {
+    full_capacity_ = capacity;
     for (int index = 0; index < count; ++index)
     {
         fake_server server;
@@ -128,6 +129,7 @@
     }
     owner_ = std::make_unique<scheduler::scheduler>(settings);
     known_to_owner_.clear();
+    told_cancelled_.clear();
     for (const auto& entry : servers_)
     {
         const fake_server& server = entry.second;
@@ -849,10 +851,13 @@
         if (now_ < next_owner_at_ || is_store_away())
         {
             waiting_since_.clear();
+            stop_due_.clear();
             return;
         }
         take_over();
+        stop_due_.clear();
     }
+    change_capacity();
     for (const auto& entry : jobs_)
     {
         if (known_to_owner_.insert(entry.first).second)
@@ -864,14 +869,14 @@
     for (const std::string& id : cancelled_)
     {
         owner_->cancel_job(id, clock);
+        told_cancelled_.insert(id);
     }
     owner_->advance(now_, wall_time{}, clock);
     poll_servers();
     deliver_delayed_starts();
-    for (const worker::stop_order& order : owner_->take_stops(now_))
-    {
-        owner_->stop_answered(order, stop(order, term_), now_);
-    }
+    deliver_delayed_stops();
+    send_stops();
+    check_cancelled_runs();
     send_waiting_orders();
     commit();
     if (owner_)
--- a/tests/scheduler/scheduler_simulation.hpp
+++ b/tests/scheduler/scheduler_simulation.hpp
@@ -12,6 +12,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace lacewingquay::test
@@ -34,7 +35,11 @@
     /// A new owner does not know which tasks have crashed servers.
     crashes_not_stored,
     /// Start orders are sent as planned, whatever has changed since.
-    orders_not_checked
+    orders_not_checked,
+    /// A stop is sent once for each run, whether it is answered or not.
+    stops_not_repeated,
+    /// No stop is sent while a transaction is under way.
+    stops_wait_for_transaction
 };
 
 /// Probabilities of faults, for each order or each step of 50 ms.
@@ -50,12 +55,20 @@
     double store_refuses = 0.0;
     /// A commit takes up to 1.5 s, and its orders wait up to 0.6 s more before they are sent.
     double slow_commit = 0.0;
+    /// A stop order does not arrive.
+    double lost_stop = 0.0;
+    double lost_stop_answer = 0.0;
+    /// A stop order is carried out 0.2 s to 4 s late.
+    double delayed_stop = 0.0;
+    /// All servers change to a half to all of their capacity.
+    double capacity_changes = 0.0;
 };
 
 /// Simulates backend servers, a store and successive owners in simulated time. Checks on every
 /// start and acknowledgement that no task runs twice at once, before the steps it depends on, after
 /// its end or beyond its attempts; and in every step that the count of waiting jobs omits none.
 /// Once all faults have healed, it also checks that no task waits while a server has room for it.
+/// Runs of a cancelled job must end within the time to notice and to repeat lost stops.
 class scheduler_simulation
 {
 public:
@@ -173,6 +186,13 @@
         steady_time next_poll{};
     };
 
+    struct delayed_stop
+    {
+        steady_time at{};
+        worker::stop_order order;
+        std::int64_t token = 0;
+    };
+
     struct delayed_start
     {
         steady_time at{};
@@ -199,10 +219,14 @@
     void renew_registrations();
     void count_crash(const fake_server& server);
     void deliver_delayed_starts();
+    void deliver_delayed_stops();
+    void change_capacity();
     worker::order_outcome start(const worker::start_order& order, std::int64_t token,
                                 steady_time deadline);
     worker::order_outcome stop(const worker::stop_order& order, std::int64_t token);
     void send(const worker::start_order& order);
+    void send(const worker::stop_order& order);
+    void send_stops();
     void end_run(fake_server& server, const worker::task_name& task, worker::end_kind kind);
     void acknowledge_ends(fake_server& server, std::int64_t number);
     /// The stored progress of a job from all of its rows.
@@ -212,6 +236,10 @@
     void check_waiting_count();
     /// Checks that no task that could run has waited for 6 s since the last fault healed.
     void check_liveness();
+    /// Checks that no run of a cancelled job has lasted for too long while the owner could stop it.
+    void check_cancelled_runs();
+    /// True if the owner has the server's address and the two can reach each other.
+    [[nodiscard]] bool owner_reaches(const fake_server& server) const;
     void check_task_runs(const worker::task_name& task, const job::step& step);
     /// True if no fault is in effect.
     [[nodiscard]] bool is_calm() const;
@@ -245,6 +273,17 @@
     std::set<std::string> begun_;
     std::set<std::string> known_to_owner_;
     std::vector<delayed_start> delayed_starts_;
+    std::vector<delayed_stop> delayed_stops_;
+    /// Number of a run on one server.
+    using run_key = std::tuple<std::string, worker::task_name, int>;
+    /// When the latest stop order without effect was sent.
+    std::map<run_key, steady_time> failed_stops_;
+    std::set<run_key> stopped_;
+    /// By when runs of cancelled jobs must have been noticed and told to stop.
+    std::map<run_key, steady_time> stop_due_;
+    /// Jobs that the owner has been told are cancelled.
+    std::set<std::string> told_cancelled_;
+    job::resources full_capacity_;
     /// A transaction under way, which is performed at that time.
     std::optional<std::pair<steady_time, scheduler::batch>> transaction_;
     /// Stored start orders and when they are sent.
--- a/tests/scheduler/scheduler_simulation_faults.cpp
+++ b/tests/scheduler/scheduler_simulation_faults.cpp
@@ -134,13 +134,15 @@
 
 bool scheduler_simulation::is_calm() const
 {
-    const bool has_rates = rates_.lost_answer + rates_.delayed_order + rates_.task_fails +
-                               rates_.server_crash + rates_.server_partitioned +
-                               rates_.owner_killed + rates_.store_answer_lost +
-                               rates_.store_refuses + rates_.slow_commit >
-                           0.0;
+    const bool has_rates =
+        rates_.lost_answer + rates_.delayed_order + rates_.task_fails + rates_.server_crash +
+            rates_.server_partitioned + rates_.owner_killed + rates_.store_answer_lost +
+            rates_.store_refuses + rates_.slow_commit + rates_.lost_stop + rates_.lost_stop_answer +
+            rates_.delayed_stop + rates_.capacity_changes >
+        0.0;
     if (has_rates || !owner_ || handing_over_ || is_store_away() || now_ < orders_held_until_ ||
-        !delayed_starts_.empty() || !waiting_orders_.empty() || transaction_)
+        !delayed_starts_.empty() || !delayed_stops_.empty() || !waiting_orders_.empty() ||
+        transaction_)
     {
         return false;
     }
