Do not schedule jobs whose stored progress cannot be read

Callers saw: all tasks of a job ran again after the owner had been replaced, also those that had ended as done.

Cause: an owner that could not read a job's progress row added the job as one that has not begun, and left out the tasks of further rows that it could not read.

Such a job is now left alone and logged as job_not_scheduled. The owner remembers it, as a feed that has lost its history delivers the rows of all jobs again, and the rows of progress are only read during a takeover.

--- a/src/manager/owner_session.cpp
+++ b/src/manager/owner_session.cpp
@@ -226,6 +226,10 @@
     {
         stored = parse_or_log("progress_unreadable", id, first->second.version,
                               [&] { return job::parse_progress(first->second.value); });
+        if (!stored)
+        {
+            unreadable_jobs_.insert(id);
+        }
     }
     const std::string prefix = job::progress_key(id, 1).substr(0, id.size() + 1);
     for (auto entry = stored_progress_.lower_bound(prefix);
@@ -236,6 +240,7 @@
                          [&] { return job::parse_tasks(entry->second.value); });
         if (!tasks)
         {
+            unreadable_jobs_.insert(id);
             continue;
         }
         // The first row may be stored after the others.
@@ -249,7 +254,17 @@
 void owner_session::apply_job(const adapter::row& row)
 {
     const std::string id = row.key.substr(job_prefix.size());
+    if (unreadable_jobs_.contains(id))
+    {
+        return;
+    }
     const std::optional<job::progress> stored = read_progress(id);
+    if (unreadable_jobs_.contains(id))
+    {
+        log_event(log_level::error, "job_not_scheduled",
+                  {{"job", id}, {"reason", "its stored progress cannot be read"}});
+        return;
+    }
     const bool has_ended =
         stored && job::is_final(stored->reported_state) &&
         std::all_of(stored->tasks.begin(), stored->tasks.end(),
--- a/src/manager/owner_session.hpp
+++ b/src/manager/owner_session.hpp
@@ -121,7 +121,8 @@
     void apply_jobs(const std::vector<adapter::row>& rows);
     void apply_job(const adapter::row& row);
     void apply_cancellation(const adapter::row& row);
-    /// The stored progress of a job, from all of its rows; nothing if there is none.
+    /// The stored progress of a job, from all of its rows; nothing if there is none. Adds the job
+    /// to `unreadable_jobs_` if one of its rows cannot be read.
     [[nodiscard]] std::optional<job::progress> read_progress(const std::string& id);
     void start_scheduling();
     void send_orders(const scheduler::batch& work);
@@ -147,6 +148,9 @@
     /// Rows read before the jobs during a takeover; empty afterwards.
     std::map<std::string, adapter::row> stored_progress_;
     std::vector<adapter::row> stored_servers_;
+    /// Jobs whose stored progress cannot be read. They are not scheduled, as tasks of theirs that
+    /// have ended would run again.
+    std::set<std::string, std::less<>> unreadable_jobs_;
     /// The scheduler knows all jobs stored up to here.
     feed_position covered_;
     bool loaded_ = false;
--- a/tests/manager/owner_overload_test.cpp
+++ b/tests/manager/owner_overload_test.cpp
@@ -73,6 +73,10 @@
         {
             rows = jobs;
         }
+        else if (is_read && target.find("table=progress") != std::string::npos)
+        {
+            rows = std::exchange(progress, {});
+        }
         else if (!is_read && target.find("rows-tx") != std::string::npos)
         {
             const bool renews =
@@ -102,6 +106,8 @@
 
     boost::json::array servers;
     boost::json::array jobs;
+    /// Delivered by the next read of that table.
+    boost::json::array progress;
     std::int64_t version = 10;
     /// Transactions that name it are rejected.
     std::string rejected_key = "none";
@@ -345,6 +351,24 @@
     CHECK_FALSE(owner.session->ended());
 }
 
+TEST_CASE("a job whose stored progress cannot be read is not started again", "[manager]")
+{
+    overloaded_owner owner(4, 3);
+    owner.add_job("later", 2, 100);
+    owner.add_job("other", 1, 100);
+    owner.store.progress = {
+        stand_in_store::make_row("progress", "job", "running 0 1\n0.0.0 1 1"),
+        stand_in_store::make_row("progress", "later", "running 0 1\n0.0.0 1 1 0 0 - 0 -"),
+        stand_in_store::make_row("progress", "later/1", "0.0.1 1")};
+    CHECK(owner.time_to_run(1, milliseconds(3'000)) < milliseconds(3'000));
+    owner.time_to_run(10, milliseconds(500));
+    // A feed that has lost its history delivers the rows of all jobs again.
+    owner.store.changed_jobs = owner.store.jobs;
+    owner.time_to_run(10, milliseconds(1'000));
+    CHECK(owner.servers.running_tasks() == 1);
+    CHECK(owner.servers.starts == 1);
+}
+
 TEST_CASE("an owner that cannot read the jobs starts nothing until it can", "[manager]")
 {
     // Guards against starts of jobs that were cancelled while the owner's reads failed.
