Do not count jobs with unreadable progress as waiting

Callers saw: a job that had begun counted in its queue's number of waiting jobs.

Cause: a host that counts all jobs took a job with a progress row that it cannot read for one that has not begun.

Progress is stored for jobs whose tasks are started, so such a row is now taken for a job that has begun. The test, a table of four jobs with one damaged row, answered 4 before and answers 3 now.

--- a/src/manager/waiting_counts.cpp
+++ b/src/manager/waiting_counts.cpp
@@ -57,7 +57,7 @@
         const std::optional<job::progress> stored =
             parse_or_log("progress_unreadable", row.key, row.version,
                          [&] { return job::parse_progress(row.value); });
-        if (stored && (stored->begun || job::is_final(stored->reported_state)))
+        if (!stored || stored->begun || job::is_final(stored->reported_state))
         {
             ids.insert(row.key);
         }
--- a/tests/manager/waiting_counts_test.cpp
+++ b/tests/manager/waiting_counts_test.cpp
@@ -244,6 +244,17 @@
     CHECK(store.feeds == 3);
 }
 
+TEST_CASE("a job whose progress cannot be read does not count as waiting", "[manager]")
+{
+    fake_store store;
+    add_three_jobs(store);
+    store.add_job("2000000000000000");
+    store.write("progress", "2000000000000000", "running 0 1\n0.0.0 1");
+    store.oldest_history = 5;
+    entry_host host(store);
+    CHECK(host.ask().body() == count(3));
+}
+
 TEST_CASE("counts that were complete a moment ago are answered without a read", "[manager]")
 {
     fake_store store;
