Store texts with line feeds so that progress rows can be read

Callers saw: ended tasks ran again after the owner had been killed while a task had a checkpoint of two lines.

Cause: a progress row has a line for each task with its checkpoint as it came, so a line feed began a line that no owner could parse. A checkpoint "-" was lost, and so were names with separators in the crash history.

A line that cannot hold its texts as they are now begins with a percent sign and has them percent-encoded. All other lines are unchanged. In rows of earlier versions, lines that do not begin with a task's position are read as part of the checkpoint before them.

--- a/src/job/progress.cpp
+++ b/src/job/progress.cpp
@@ -22,6 +22,13 @@
 constexpr std::string_view empty_text = "-";
 /// Marks the machine of the run behind the crash history.
 constexpr char machine_mark = '@';
+/// Begins the line of a task whose texts are percent-encoded. No earlier version writes it there.
+constexpr char encoded_mark = '%';
+/// Characters that no plain text of a task's line contains, besides control characters.
+constexpr std::string_view server_separators = " ";
+constexpr std::string_view name_separators = " /";
+constexpr std::string_view checkpoint_separators;
+constexpr int hexadecimal = 16;
 /// Separates the job's id from the number of a further row.
 constexpr char row_mark = '/';
 
@@ -43,39 +50,119 @@
     return parsed.ec == std::errc() && parsed.ptr == field.data() + field.size();
 }
 
-std::string text_field(std::string_view field)
+bool is_control(char letter)
 {
-    return field == empty_text ? std::string() : std::string(field);
+    constexpr unsigned char first_printable = 0x20;
+    constexpr unsigned char del = 0x7f;
+    const unsigned char code = static_cast<unsigned char>(letter);
+    return code < first_printable || code == del;
+}
+
+bool is_plain(std::string_view text, std::string_view separators)
+{
+    return text != empty_text && text.find_first_of(separators) == std::string_view::npos &&
+           std::none_of(text.begin(), text.end(), is_control);
+}
+
+/// True if a text of the task does not fit into a line as it is.
+bool needs_encoding(const task_progress& task)
+{
+    return !is_plain(task.server, server_separators) || !is_plain(task.machine, name_separators) ||
+           !is_plain(task.checkpoint, checkpoint_separators) ||
+           std::any_of(task.crashes.suspicions.begin(), task.crashes.suspicions.end(),
+                       [](const suspected_crash& crash) {
+                           return !is_plain(crash.machine, name_separators) ||
+                                  !is_plain(crash.server, name_separators);
+                       });
+}
+
+void append_text(std::string_view value, bool is_encoded, std::string& text)
+{
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    if (value.empty() || !is_encoded)
+    {
+        text += value.empty() ? empty_text : value;
+        return;
+    }
+    const bool is_reserved = value == empty_text;
+    for (const char letter : value)
+    {
+        if (is_reserved || is_control(letter) || letter == ' ' || letter == '/' || letter == '%')
+        {
+            const unsigned char code = static_cast<unsigned char>(letter);
+            text += '%';
+            text += digits[code / hexadecimal];
+            text += digits[code % hexadecimal];
+        }
+        else
+        {
+            text += letter;
+        }
+    }
+}
+
+/// The inverse of `append_text`.
+bool parse_text(std::string_view field, bool is_encoded, std::string& value)
+{
+    value.clear();
+    if (field == empty_text || !is_encoded)
+    {
+        value = field == empty_text ? std::string_view() : field;
+        return true;
+    }
+    while (!field.empty())
+    {
+        char letter = field.front();
+        std::size_t length = 1;
+        if (letter == '%')
+        {
+            constexpr std::size_t code_length = 3;
+            length = code_length;
+            const std::string_view digits = field.substr(1, length - 1);
+            unsigned char code = 0;
+            const std::from_chars_result parsed =
+                std::from_chars(digits.data(), digits.data() + digits.size(), code, hexadecimal);
+            if (digits.size() + 1 != length || parsed.ec != std::errc() ||
+                parsed.ptr != digits.data() + digits.size())
+            {
+                return false;
+            }
+            letter = static_cast<char>(code);
+        }
+        else if (is_control(letter))
+        {
+            return false;
+        }
+        value += letter;
+        field.remove_prefix(length);
+    }
+    return true;
 }
 
 /// Parses a suspicion and removes it from `text`. Older rows end with the machine.
-bool take_suspicion(std::string_view& text, suspected_crash& crash)
+bool take_suspicion(std::string_view& text, bool is_encoded, suspected_crash& crash)
 {
     int at_start = 0;
     int alone = 0;
     if (!take_number(text, '/', crash.run) || !take_number(text, '/', at_start) ||
-        !take_number(text, '/', alone) || text.empty())
+        !take_number(text, '/', alone) || text.empty() ||
+        !parse_text(take_field(text, '/'), is_encoded, crash.machine))
     {
         return false;
     }
     crash.at_start = at_start != 0;
     crash.alone = alone != 0;
-    crash.machine = text_field(take_field(text, '/'));
     if (text.empty() || text.front() == machine_mark)
     {
         return true;
     }
-    if (!take_number(text, '/', crash.born) || text.empty())
-    {
-        return false;
-    }
-    crash.server = text_field(take_field(text, '/'));
-    return true;
+    return take_number(text, '/', crash.born) && !text.empty() &&
+           parse_text(take_field(text, '/'), is_encoded, crash.server);
 }
 
 /// Parses the part of the server's start field that follows the number. Older rows have none of it,
 /// or no machine of the run.
-bool parse_crashes(std::string_view field, task_progress& task)
+bool parse_crashes(std::string_view field, bool is_encoded, task_progress& task)
 {
     crash_history& crashes = task.crashes;
     if (field.empty())
@@ -92,7 +179,7 @@
     do
     {
         suspected_crash crash;
-        if (!take_suspicion(field, crash))
+        if (!take_suspicion(field, is_encoded, crash))
         {
             return false;
         }
@@ -101,23 +188,12 @@
             crashes.suspicions.push_back(std::move(crash));
         }
     } while (!field.empty() && field.front() != machine_mark);
-    if (!field.empty())
-    {
-        task.machine = text_field(field.substr(1));
-    }
-    return crashes.crashes >= 0;
-}
-
-/// A name with a separator is left out; without it a later owner does not count the crash, or does
-/// not recognise the next incarnation.
-std::string_view plain_name(std::string_view name)
-{
-    const bool is_plain = name.find_first_of(" /\n") == std::string_view::npos;
-    return name.empty() || !is_plain ? empty_text : name;
+    return crashes.crashes >= 0 &&
+           (field.empty() || parse_text(field.substr(1), is_encoded, task.machine));
 }
 
 /// Appends what `parse_crashes` reads, if there is anything to record.
-void append_crashes(const task_progress& task, std::string& text)
+void append_crashes(const task_progress& task, bool is_encoded, std::string& text)
 {
     const crash_history& crashes = task.crashes;
     if (crashes == crash_history{} && task.machine.empty())
@@ -136,52 +212,85 @@
         text += '/' + std::to_string(crash.run);
         text += crash.at_start ? "/1" : "/0";
         text += crash.alone ? "/1/" : "/0/";
-        text += plain_name(crash.machine);
+        append_text(crash.machine, is_encoded, text);
         text += '/' + std::to_string(crash.born) + '/';
-        text += plain_name(crash.server);
+        append_text(crash.server, is_encoded, text);
     }
     if (!task.machine.empty())
     {
         text += '/';
         text += machine_mark;
-        text += plain_name(task.machine);
+        append_text(task.machine, is_encoded, text);
     }
 }
 
+bool take_position(std::string_view& line, task_position& position)
+{
+    return take_number(line, '.', position.occurrence) && take_number(line, '.', position.step) &&
+           take_number(line, ' ', position.index);
+}
+
+/// Removes the entry of the next task from `text` and returns it. An earlier version stored the
+/// line feeds of a checkpoint as they were: lines that do not begin with a position belong to it.
+std::string_view take_task(std::string_view& text)
+{
+    std::size_t end = text.find('\n');
+    while (end != std::string_view::npos)
+    {
+        std::string_view next = text.substr(end + 1);
+        next.remove_prefix(next.starts_with(encoded_mark) ? 1 : 0);
+        task_position position;
+        if (take_position(next, position))
+        {
+            break;
+        }
+        end = text.find('\n', end + 1);
+    }
+    const std::string_view entry = text.substr(0, end);
+    text = end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
+    return entry;
+}
+
 bool parse_task(std::string_view line, task_progress& task)
 {
+    const bool is_encoded = line.starts_with(encoded_mark);
+    line.remove_prefix(is_encoded ? 1 : 0);
     int done = 0;
-    if (!take_number(line, '.', task.position.occurrence) ||
-        !take_number(line, '.', task.position.step) ||
-        !take_number(line, ' ', task.position.index) || !take_number(line, ' ', done) ||
+    if (!take_position(line, task.position) || !take_number(line, ' ', done) ||
         !take_number(line, ' ', task.run) || !take_number(line, ' ', task.failures) ||
         !take_number(line, ' ', task.failed_run))
     {
         return false;
     }
     task.done = done != 0;
-    task.server = text_field(take_field(line, ' '));
+    const std::string_view server = take_field(line, ' ');
     std::string_view born = take_field(line, ' ');
-    if (!take_number(born, '/', task.server_born) || !parse_crashes(born, task) || line.empty())
+    if (!parse_text(server, is_encoded, task.server) || !take_number(born, '/', task.server_born) ||
+        !parse_crashes(born, is_encoded, task) || line.empty() ||
+        !parse_text(line, is_encoded, task.checkpoint))
     {
         return false;
     }
-    task.checkpoint = text_field(line);
     return task.position.occurrence >= 0 && task.position.step >= 0 && task.position.index >= 0;
 }
 
 void append_task(const task_progress& task, std::string& text)
 {
+    const bool is_encoded = needs_encoding(task);
+    if (is_encoded)
+    {
+        text += encoded_mark;
+    }
     text += std::to_string(task.position.occurrence) + '.' + std::to_string(task.position.step) +
             '.' + std::to_string(task.position.index);
     text += task.done ? " 1 " : " 0 ";
     text += std::to_string(task.run) + ' ' + std::to_string(task.failures) + ' ' +
             std::to_string(task.failed_run) + ' ';
-    text += task.server.empty() ? empty_text : std::string_view(task.server);
+    append_text(task.server, is_encoded, text);
     text += ' ' + std::to_string(task.server_born);
-    append_crashes(task, text);
+    append_crashes(task, is_encoded, text);
     text += ' ';
-    text += task.checkpoint.empty() ? empty_text : std::string_view(task.checkpoint);
+    append_text(task.checkpoint, is_encoded, text);
 }
 
 /// True if the stored progress of a task shows that one of its runs has begun. A run number alone
@@ -292,12 +401,12 @@
     std::vector<task_progress> tasks;
     while (!text.empty())
     {
-        const std::string_view line = take_field(text, '\n');
+        const std::string_view entry = take_task(text);
         task_progress task;
-        if (!parse_task(line, task))
+        if (!parse_task(entry, task))
         {
             return boost::leaf::new_error(
-                input_error{"progress", std::string(line.substr(0, 200)), "a task's progress"});
+                input_error{"progress", std::string(entry.substr(0, 200)), "a task's progress"});
         }
         tasks.push_back(std::move(task));
     }
--- a/src/job/progress.hpp
+++ b/src/job/progress.hpp
@@ -111,8 +111,9 @@
 
 /// Returns the text of a job's first progress row: a line for the job, then a line for each task. A
 /// task's crash history and the machine of its server follow the start of its server, separated by
-/// slashes, if there are any. A job with many tasks has further rows, which `serialize_tasks`
-/// returns.
+/// slashes, if there are any. Texts that a line cannot hold as they are, such as a checkpoint with
+/// a line feed, are percent-encoded, which a percent sign at the start of the line tells. A job
+/// with many tasks has further rows, which `serialize_tasks` returns.
 [[nodiscard]] std::string serialize_progress(const progress& value);
 
 /// Returns the text of a further progress row: a line for each task.
--- a/tests/job/job_test.cpp
+++ b/tests/job/job_test.cpp
@@ -22,6 +22,14 @@
         [] { return std::optional<Value>(); });
 }
 
+std::string any_text()
+{
+    const std::vector<std::string> samples{"",      "-",      "i-7f3a91c2", "step=1\nrun=2",
+                                           "a b/c", "\n",     "\r",         "%0A",
+                                           "@m",    "\"\\\t", "\xff",       std::string(1, '\0')};
+    return *rc::gen::oneOf(rc::gen::elementOf(samples), rc::gen::arbitrary<std::string>());
+}
+
 progress any_progress()
 {
     progress value;
@@ -79,6 +87,51 @@
              });
 }
 
+TEST_CASE("no text of a task makes stored progress unreadable", "[job]")
+{
+    rc::prop("round trip of any bytes",
+             []
+             {
+                 progress value = any_progress();
+                 for (task_progress& task : value.tasks)
+                 {
+                     task.server = any_text();
+                     task.machine = any_text();
+                     task.checkpoint = any_text();
+                     for (suspected_crash& crash : task.crashes.suspicions)
+                     {
+                         crash.machine = any_text();
+                         crash.server = any_text();
+                     }
+                 }
+                 const std::string text = serialize_progress(value);
+                 RC_ASSERT(parsed<progress>([&] { return parse_progress(text); }) == value);
+             });
+}
+
+TEST_CASE("a line feed that an earlier version stored in a checkpoint is read as part of it",
+          "[job]")
+{
+    const std::optional<progress> value = parsed<progress>(
+        []
+        {
+            return parse_progress("running 0 1\n0.0.0 1 1 0 0 - 0 -\n"
+                                  "0.1.0 0 2 0 0 i-7f 1700 step=a\nrun=1\n\n"
+                                  "0.1.1 0 1 0 0 i-7f 1700 %0A");
+        });
+    REQUIRE(value);
+    REQUIRE(value->tasks.size() == 3);
+    CHECK(value->tasks[0].done);
+    CHECK(value->tasks[1].checkpoint == "step=a\nrun=1\n");
+    CHECK(value->tasks[2].checkpoint == "%0A");
+    for (const std::string_view damaged : {"0.0.0 1 1 0 0 - 0 -\n0.1.0", "run=1",
+                                           "%0.1.0 0 2 0 0 - 0 %4", "%0.1.0 0 2 0 0 - 0 a\nb"})
+    {
+        CAPTURE(damaged);
+        CHECK_FALSE(parsed<std::vector<task_progress>>([&] { return parse_tasks(damaged); }));
+    }
+}
+
 TEST_CASE("progress stored by an earlier version shows a job as begun only if its tasks prove it",
           "[job]")
 {
