Do not run a job that is read after its cancellation

Callers saw: a job ran on although its DELETE was acknowledged, where the job's row was stored after the row of its cancellation. The rows of cancellations without a job were never removed.

Cause: the scheduler ignored the cancellation of a job that it did not know.

Change: such a job counts as ended at the time of its cancellation. A job that is added later is not run, also after a takeover or a full read of the table, as the owner reads the rows of all cancellations again. Both rows are removed after the retention time, by the code that removes ended jobs.

Tests: "a job that is added after its cancellation is not run, and expires" and "a job that an owner reads after its cancellation is not run" (read by a takeover and by the feed).

--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -450,7 +450,12 @@
 {
     store_time_ = std::max(store_time_, store_time);
     const auto found = jobs_.find(std::string(id));
-    if (found != jobs_.end() && !job::is_final(found->second->reported_state))
+    if (found == jobs_.end())
+    {
+        add_ended(id, store_time - age.value_or(milliseconds(0)));
+        return;
+    }
+    if (!job::is_final(found->second->reported_state))
     {
         finish_job(*found->second, job::state::cancelled, age);
     }
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -84,6 +84,7 @@
     void add_ended(std::string_view id, milliseconds ended);
 
     /// Cancels a job and stops its runs. `age` is the time since the caller cancelled it, if known.
+    /// A job that is not known counts as ended, so that it is not run if it is added later.
     void cancel_job(std::string_view id, milliseconds store_time,
                     std::optional<milliseconds> age = std::nullopt);
 
--- a/tests/manager/owner_overload_test.cpp
+++ b/tests/manager/owner_overload_test.cpp
@@ -402,3 +402,26 @@
     CHECK(owner.time_to_stop(1, limit) < limit);
     CHECK_FALSE(owner.servers.running["s0"].contains("other.0.0.0"));
 }
+
+TEST_CASE("a job that an owner reads after its cancellation is not run", "[manager]")
+{
+    const boost::json::object cancellation = stand_in_store::make_row("jobs", "c/late", "{}");
+    const bool is_before_takeover = GENERATE(true, false);
+    overloaded_owner owner(4, 1);
+    if (is_before_takeover)
+    {
+        owner.store.jobs.push_back(cancellation);
+    }
+    REQUIRE(owner.time_to_run(1, milliseconds(3'000)) < milliseconds(3'000));
+    if (!is_before_takeover)
+    {
+        owner.store.changed_jobs.push_back(cancellation);
+        owner.time_to_run(2, milliseconds(400));
+        REQUIRE(owner.store.changed_jobs.empty());
+    }
+    owner.add_job("late", 1, 100);
+    owner.store.changed_jobs.push_back(owner.store.jobs.back());
+    owner.time_to_run(2, milliseconds(800));
+    CHECK(owner.store.changed_jobs.empty());
+    CHECK(owner.servers.running_tasks() == 1);
+}
--- a/tests/scheduler/scheduler_test.cpp
+++ b/tests/scheduler/scheduler_test.cpp
@@ -476,6 +476,20 @@
     CHECK_FALSE(next.knows_job("a"));
 }
 
+TEST_CASE("a job that is added after its cancellation is not run, and expires", "[scheduler]")
+{
+    scheduler::scheduler owner{scheduler::settings{}};
+    const steady_time now{std::chrono::hours(1)};
+    owner.cancel_job("a", milliseconds(1'500), milliseconds(500));
+    owner.cancel_job("a", milliseconds(1'600));
+    owner.add_job(make_job("a", 1, 1, 8'000, milliseconds(500)), nullptr, {}, now);
+    CHECK(owner.active_jobs() == 0);
+    CHECK(owner.take_expired(milliseconds(1'900), milliseconds(1'000)).empty());
+    CHECK(owner.take_expired(milliseconds(2'500), milliseconds(1'000)) ==
+          std::vector<std::string>{"a"});
+    CHECK_FALSE(owner.knows_job("a"));
+}
+
 TEST_CASE("jobs that tasks or callers wait for are stored before the ends of other tasks",
           "[scheduler]")
 {
