Let a cancellation prevent late writes of its job

Callers saw: while the store loses answers, a caller whose POST got 504 sent DELETE and was told 410. The job's write was performed after that, and the job ran on to its end, or for ever if it lasts.

Cause: DELETE of a job that was not stored wrote nothing before it answered, and a write of the job in doubt did not depend on cancellations.

Change: DELETE stores the cancellation first and looks for the job then. The write of a new job has the condition that the job has no cancellation. Both rows are in one part of the store, which so performs the two writes in one order: either the DELETE finds the job, or the job is never stored, by any host and at any time. A cancellation in doubt that is performed late falls under the same condition. A POST that comes after it is answered 410. A job and its cancellation no longer share a transaction, so that the job always has the lower version. A new job takes three entries of a transaction, so at most 33 instead of 45 rows share one.

Cost: each DELETE of an unknown job writes one row, the same for each repetition, which is removed after the retention time.

The test's store now checks conditions, and its reads no longer answer with the cancellation where the job is asked for.

Hosts of an earlier version write jobs without the condition. During such an upgrade, the owner does not run a job that is stored after its cancellation.

--- a/src/manager/job_api.cpp
+++ b/src/manager/job_api.cpp
@@ -32,8 +32,9 @@
 constexpr milliseconds answer_margin{250};
 /// Retry-After during a store outage; outages last some seconds.
 constexpr int outage_retry_seconds = 2;
-/// Most rows in one transaction; each new job takes a condition and a write.
-constexpr std::size_t max_batch = 45;
+/// Most rows in one transaction; each new job takes two conditions and a write.
+constexpr std::size_t max_batch = 33;
+static_assert(3 * max_batch <= adapter::max_transaction_entries);
 /// What a transaction contains besides its rows, in bytes.
 constexpr std::size_t transaction_overhead = 200;
 
@@ -80,6 +81,19 @@
     return parsed.ec == std::errc() && value > 0 ? milliseconds(value) : default_request_timeout;
 }
 
+/// The job that a row of the jobs table belongs to.
+std::string_view job_of(std::string_view key)
+{
+    static_assert(job_prefix.size() == cancel_prefix.size());
+    return key.substr(job_prefix.size());
+}
+
+/// Key of the row that holds the cancellation of a job.
+std::string cancel_key(std::string_view id)
+{
+    return std::string(cancel_prefix) + std::string(id);
+}
+
 http::response state_response(job::state reported_state)
 {
     return http::make_response(
@@ -225,6 +239,13 @@
         log_event(log_level::error, "job_rejected", {{"job", id}, {"queue", queue.name}});
         co_return error_response(http::status::bad_request, "the store does not accept the job", 0);
     }
+    if (outcome == adapter::commit_outcome::conflict)
+    {
+        log_event(log_level::info, "job_refused",
+                  {{"job", id}, {"queue", queue.name}, {"reason", "it was cancelled before"}});
+        co_return error_response(http::status::gone, "the job was cancelled before it was stored",
+                                 0);
+    }
     const bool is_uncertain = outcome == adapter::commit_outcome::unknown;
     log_event(
         log_level::warning, is_uncertain ? "job_uncertain" : "job_refused",
@@ -309,28 +330,34 @@
     {
         co_return http::make_response(http::status::ok, "{}");
     }
+    // Stored even if there is no such job, as the job's own write may be performed later.
+    const adapter::commit_outcome outcome = co_await store_row(
+        cancel_key(id), job::serialize_cancellation(shared_.store_time()), false, deadline);
+    log_event(log_level::info, "job_cancel",
+              {{"job", id}, {"stored", outcome == adapter::commit_outcome::done}});
+    if (outcome != adapter::commit_outcome::done)
+    {
+        co_return error_response(
+            outcome == adapter::commit_outcome::unknown ? http::status::gateway_timeout
+                                                        : http::status::service_unavailable,
+            "the store did not confirm the cancellation", outage_retry_seconds);
+    }
     if (!known)
     {
-        std::optional<http::response> missing = co_await error_if_unknown(id);
-        if (missing)
+        const adapter::read_result row =
+            co_await shared_.store.read_row(jobs_table, std::string(job_prefix) + id, read_timeout);
+        if (row.ok && row.rows.empty())
         {
-            co_return std::move(*missing);
+            co_return error_response(http::status::gone, "no such job", 0);
+        }
+        if (!row.ok)
+        {
+            // Cancelled if it exists, which is not known, so its state is not cached.
+            co_return http::make_response(http::status::ok, "{}");
         }
     }
-    const adapter::commit_outcome outcome =
-        co_await store_row(std::string(cancel_prefix) + id,
-                           job::serialize_cancellation(shared_.store_time()), false, deadline);
-    log_event(log_level::info, "job_cancel",
-              {{"job", id}, {"stored", outcome == adapter::commit_outcome::done}});
-    if (outcome == adapter::commit_outcome::done)
-    {
-        shared_.jobs.cancel(id);
-        co_return http::make_response(http::status::ok, "{}");
-    }
-    co_return error_response(outcome == adapter::commit_outcome::unknown
-                                 ? http::status::gateway_timeout
-                                 : http::status::service_unavailable,
-                             "the store did not confirm the cancellation", outage_retry_seconds);
+    shared_.jobs.cancel(id);
+    co_return http::make_response(http::status::ok, "{}");
 }
 
 boost::asio::awaitable<adapter::commit_outcome>
@@ -364,15 +391,23 @@
     const steady_time now = shared_.now();
     for (std::shared_ptr<pending_write>& entry : batch)
     {
-        const bool exists = std::any_of(result.current.begin(), result.current.end(),
-                                        [&](const adapter::row& row)
-                                        { return row.key == entry->key && row.version > 0; });
-        if (result.outcome == commit_outcome::done ||
-            (result.outcome == commit_outcome::conflict && entry->is_new && exists))
+        const auto exists = [&](std::string_view key)
+        {
+            return std::any_of(result.current.begin(), result.current.end(),
+                               [&](const adapter::row& row)
+                               { return row.key == key && row.version > 0; });
+        };
+        const bool may_exist = result.outcome == commit_outcome::conflict && entry->is_new;
+        if (result.outcome == commit_outcome::done || (may_exist && exists(entry->key)))
         {
             complete(*entry, commit_outcome::done);
             continue;
         }
+        if (may_exist && exists(cancel_key(job_of(entry->key))))
+        {
+            complete(*entry, commit_outcome::conflict);
+            continue;
+        }
         entry->in_doubt = entry->in_doubt || result.outcome == commit_outcome::unknown;
         const bool is_refused = result.outcome == commit_outcome::refused ||
                                 (result.outcome == commit_outcome::rejected && batch.size() == 1);
@@ -413,22 +448,27 @@
         {
             const std::shared_ptr<pending_write>& entry = from.pending[index];
             const adapter::row_write write{std::string(jobs_table), entry->key, entry->value};
-            bytes += adapter::encoded_size(write);
+            // The second part is the condition on the cancellation of a new job.
+            bytes += adapter::encoded_size(write) +
+                     adapter::encoded_size({std::string(jobs_table), entry->key, ""});
             if (bytes > adapter::max_transaction_bytes && !batch.empty())
             {
                 break;
             }
             if (std::any_of(batch.begin(), batch.end(),
                             [&](const std::shared_ptr<pending_write>& other)
-                            { return other->key == entry->key; }))
+                            { return job_of(other->key) == job_of(entry->key); }))
             {
-                // A transaction must not hold a row twice; this one joins the next transaction.
+                // A transaction must not hold a row twice, and a cancellation needs a later version
+                // than its job. This one joins the next transaction.
                 continue;
             }
             batch.push_back(entry);
             if (entry->is_new)
             {
                 work.conditions.push_back({std::string(jobs_table), entry->key, 0});
+                work.conditions.push_back(
+                    {std::string(jobs_table), cancel_key(job_of(entry->key)), 0});
             }
             work.writes.push_back(write);
             timeout = std::min(timeout,
--- a/src/manager/job_api.hpp
+++ b/src/manager/job_api.hpp
@@ -43,7 +43,8 @@
 
         std::string key;
         std::string value;
-        /// The row must not exist yet. If it does, an earlier attempt has stored it.
+        /// A job's row, which must not exist yet, nor its cancellation. If the row exists, an
+        /// earlier attempt has stored it.
         bool is_new;
         /// Cancelled once `outcome` is known.
         boost::asio::steady_timer completed;
@@ -63,6 +64,7 @@
         std::size_t stored_alone = 0;
     };
 
+    /// The outcome is `conflict` if the job was cancelled before its row was stored.
     boost::asio::awaitable<adapter::commit_outcome> store_row(std::string key, std::string value,
                                                               bool is_new, steady_time deadline);
     boost::asio::awaitable<http::response> submit(const job::queue& queue, std::string id,
--- a/tests/manager/job_api_test.cpp
+++ b/tests/manager/job_api_test.cpp
@@ -8,10 +8,12 @@
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <exception>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -31,6 +33,59 @@
     std::set<std::string> keys;
     /// Transactions that name it are rejected.
     std::string rejected_key = "none";
+    /// Transactions are not confirmed, and only performed by `perform_late`.
+    bool loses_answers = false;
+    std::vector<std::string> lost;
+    /// Transactions with both a job and its cancellation.
+    int mixed_transactions = 0;
+    /// Jobs that were stored after their cancellation.
+    int late_jobs = 0;
+
+    /// Performs the transactions that were not confirmed, in this order.
+    void perform_late(const std::vector<std::string>& transactions)
+    {
+        for (const std::string& work : transactions)
+        {
+            perform(work);
+        }
+    }
+
+    http::response perform(const std::string& text)
+    {
+        const boost::json::value work = boost::json::parse(text);
+        boost::json::array current;
+        for (const boost::json::value& condition : work.at("precondition").as_array())
+        {
+            const std::string key(condition.at("key").as_string());
+            if (keys.contains(key))
+            {
+                current.emplace_back(make_row(key));
+            }
+        }
+        if (!current.empty())
+        {
+            return http::make_response(
+                http::status::precondition_failed,
+                boost::json::serialize(boost::json::object{
+                    {"rows", std::move(current)}, {"row-version", 7}, {"now-ms", 1'000}}));
+        }
+        std::set<std::string> jobs;
+        for (const boost::json::value& write : work.at("set-keys").as_array())
+        {
+            const std::string key(write.at("key").as_string());
+            mixed_transactions += jobs.insert(key.substr(2)).second ? 0 : 1;
+            late_jobs += key.starts_with("j/") && keys.contains("c/" + key.substr(2)) ? 1 : 0;
+            keys.insert(key);
+        }
+        return http::make_response(http::status::ok, boost::json::serialize(boost::json::object{
+                                                         {"row-version", 7}, {"now-ms", 1'000}}));
+    }
+
+    static boost::json::object make_row(const std::string& key)
+    {
+        return {
+            {"table", "jobs"}, {"key", key}, {"value", base64_encode("{}")}, {"row-version", 5}};
+    }
 
     http::response handle(const http::request& received)
     {
@@ -43,21 +98,20 @@
             {
                 return http::make_response(http::status::bad_request, "{}");
             }
-            const boost::json::value work = boost::json::parse(received.body());
-            for (const boost::json::value& write : work.at("set-keys").as_array())
+            if (loses_answers)
             {
-                keys.emplace(write.at("key").as_string());
+                lost.push_back(received.body());
+                return http::make_response(http::status::gateway_timeout, "{}");
             }
+            return perform(received.body());
         }
         for (const std::string& key : keys)
         {
             // Keys are percent-encoded in queries.
-            if (target.find("from=j%2F" + key.substr(2)) != std::string::npos)
+            if (target.find("from=" + key.substr(0, 1) + "%2F" + key.substr(2)) !=
+                std::string::npos)
             {
-                rows.emplace_back(boost::json::object{{"table", "jobs"},
-                                                      {"key", key},
-                                                      {"value", base64_encode("{}")},
-                                                      {"row-version", 5}});
+                rows.emplace_back(make_row(key));
             }
         }
         return http::make_response(
@@ -109,6 +163,17 @@
         return test::run(io, callers->handle(make_submission(id, std::string(job_body))));
     }
 
+    /// Returns the status of the answer.
+    unsigned request(http::method method, const std::string& id,
+                     const std::string& deadline_ms = "3000")
+    {
+        http::request message = http::make_request(
+            method, "/q/" + id, method == http::method::post ? std::string(job_body) : "");
+        message.set(boost::beast::http::field::host, "h");
+        message.set("Deadline-Ms", deadline_ms);
+        return test::run(io, callers->handle(std::move(message))).result_int();
+    }
+
     /// Submits jobs at the same time; returns the status of each answer, by id.
     std::map<std::string, unsigned> submit_together(const std::vector<std::string>& ids,
                                                     const std::string& body)
@@ -209,3 +274,90 @@
     }
     CHECK(store.keys.size() == 19);
 }
+
+namespace
+{
+
+/// A deadline at which a write is tried only a few times.
+constexpr const char* short_deadline = "350";
+
+} // namespace
+
+TEST_CASE("a job whose write is performed after its cancellation is not stored", "[manager]")
+{
+    // Guards against a job that runs though its caller was told that there is no such job.
+    const std::string id = "00000000000000c1";
+    fake_store store;
+    entry_host host(store, milliseconds(200));
+    store.loses_answers = true;
+    REQUIRE(host.request(http::method::post, id, short_deadline) == 504);
+    store.loses_answers = false;
+    CHECK(host.request(http::method::delete_, id) == 410);
+    store.perform_late(store.lost);
+    CHECK_FALSE(store.keys.contains("j/" + id));
+    CHECK(host.request(http::method::get, id) == 410);
+}
+
+TEST_CASE("a job that is submitted after its cancellation is refused", "[manager]")
+{
+    const std::string id = "00000000000000c2";
+    fake_store store;
+    entry_host host(store, milliseconds(200));
+    CHECK(host.request(http::method::delete_, id) == 410);
+    CHECK(host.request(http::method::delete_, id) == 410);
+    CHECK(host.request(http::method::post, id) == 410);
+    CHECK_FALSE(store.keys.contains("j/" + id));
+    CHECK(store.keys.size() == 1);
+}
+
+TEST_CASE("a repeated submission of a job that was cancelled later finds the job", "[manager]")
+{
+    const std::string id = "00000000000000c3";
+    fake_store store;
+    entry_host host(store, milliseconds(200));
+    entry_host other(store, milliseconds(200));
+    REQUIRE(host.request(http::method::post, id) == 200);
+    CHECK(other.request(http::method::delete_, id) == 200);
+    entry_host third(store, milliseconds(200));
+    CHECK(third.request(http::method::post, id) == 200);
+}
+
+TEST_CASE("a job and its cancellation do not share a transaction", "[manager]")
+{
+    // Guards against a reader of the table that sees the cancellation before the job.
+    const std::string id = "00000000000000c4";
+    fake_store store;
+    entry_host host(store, milliseconds(200));
+    for (const http::method method : {http::method::post, http::method::delete_})
+    {
+        http::request message = entry_host::make_submission(id, std::string(job_body));
+        message.method(method);
+        boost::asio::co_spawn(host.io, host.callers->handle(std::move(message)),
+                              [](const std::exception_ptr&, const http::response&) {});
+    }
+    host.io.run_for(std::chrono::milliseconds(300));
+    CHECK(store.keys.size() == 2);
+    CHECK(store.mixed_transactions == 0);
+}
+
+TEST_CASE("no order of late writes stores a job after its cancellation", "[manager]")
+{
+    fake_store store;
+    entry_host host(store, milliseconds(200));
+    std::mt19937 random(20261204);
+    for (int number = 0; number < 12; ++number)
+    {
+        const std::string id = std::to_string(1'000'000'000'000'000 + number);
+        store.lost.clear();
+        store.loses_answers = random() % 4 != 0;
+        host.request(http::method::post, id, short_deadline);
+        store.loses_answers = random() % 2 != 0;
+        host.request(http::method::delete_, id, short_deadline);
+        store.loses_answers = false;
+        std::shuffle(store.lost.begin(), store.lost.end(), random);
+        store.perform_late(store.lost);
+        CAPTURE(id);
+        CHECK(store.keys.contains("c/" + id));
+    }
+    CHECK(store.late_jobs == 0);
+}
