Date a stand-in's stop by the run that it ended

The stand-in of backend servers dated each stop order, also one for a run that had ended before. An owner that repeats a stop until the server's report shows the end, 0.5 s later, failed 'the runs of a cancelled job are stopped while a transaction is under way' by 1 to 6 ms, though the run had ended at the first stop. The time is now that of the stop that ended a run. The bound of 0.5 s from the cancellation to the end of the last run stays as it is.

--- a/tests/manager/owner_overload_test.cpp
+++ b/tests/manager/owner_overload_test.cpp
@@ -158,8 +158,10 @@
         else if (target == "/lacewingquay/run-stop")
         {
             closed = std::max(closed, run);
-            running[server].erase(task);
-            stopped_at = std::chrono::steady_clock::now();
+            if (running[server].erase(task) > 0)
+            {
+                stopped_at = std::chrono::steady_clock::now();
+            }
         }
         else if (run > closed && running[server][task] != run)
         {
@@ -184,6 +186,7 @@
     std::map<std::string, std::map<std::string, std::int64_t>> running;
     std::map<std::string, std::map<std::string, std::int64_t>> closed_runs;
     std::size_t starts = 0;
+    /// When the latest run was ended by a stop.
     std::chrono::steady_clock::time_point stopped_at{};
     /// So many stop orders are neither executed nor answered.
     int lost_stops = 0;
