Read cancellations ahead of the jobs

Callers saw: a task of a cancelled job that started 2 s after the cancellation's acknowledgement and ran on for 2.5 s more.

Cause: an owner read cancellations from the feed of the jobs table, behind all jobs that arrive with them. While it sends a thousand starts a second, its one event loop takes an answer of 400 KB in many pieces between other work. So a cancellation is as late as the jobs, and nothing bounds this for runs that are under way; starts alone were held back, on a view that is 2 s old.

A cancellation now has a second row, in a table of its own that the same transaction writes. The owner follows its feed, whose answers are small, and remembers cancellations of jobs that it has not read yet. The row in the jobs table stays: a takeover, a lost history and hosts of earlier versions use it.

The time at which a stop became due was also wrong for runs that a takeover restores, as they were added before the scheduler had a time.

--- a/src/manager/context.hpp
+++ b/src/manager/context.hpp
@@ -27,6 +27,9 @@
 
 /// Table names, row keys and key prefixes in the store.
 inline constexpr std::string_view jobs_table = "jobs";
+/// A row for each cancellation, by the job's id, beside the row in the jobs table. Its feed has no
+/// jobs, so that a burst of them does not delay the reading of cancellations.
+inline constexpr std::string_view cancellations_table = "cancellations";
 inline constexpr std::string_view progress_table = "progress";
 inline constexpr std::string_view owner_table = "owner";
 inline constexpr std::string_view operator_table = "op";
--- a/src/manager/job_api.cpp
+++ b/src/manager/job_api.cpp
@@ -448,9 +448,11 @@
         {
             const std::shared_ptr<pending_write>& entry = from.pending[index];
             const adapter::row_write write{std::string(jobs_table), entry->key, entry->value};
-            // The second part is the condition on the cancellation of a new job.
+            // The second part is the condition on the cancellation of a new job, or the second row
+            // of a cancellation.
             bytes += adapter::encoded_size(write) +
-                     adapter::encoded_size({std::string(jobs_table), entry->key, ""});
+                     adapter::encoded_size({std::string(cancellations_table), entry->key,
+                                            entry->is_new ? std::string() : entry->value});
             if (bytes > adapter::max_transaction_bytes && !batch.empty())
             {
                 break;
@@ -471,6 +473,11 @@
                     {std::string(jobs_table), cancel_key(job_of(entry->key)), 0});
             }
             work.writes.push_back(write);
+            if (entry->key.starts_with(cancel_prefix))
+            {
+                work.writes.push_back({std::string(cancellations_table),
+                                       std::string(job_of(entry->key)), entry->value});
+            }
             timeout = std::min(timeout,
                                std::max(milliseconds(50), std::chrono::duration_cast<milliseconds>(
                                                               entry->deadline - shared_.now())));
--- a/src/manager/owner_session.cpp
+++ b/src/manager/owner_session.cpp
@@ -40,6 +40,12 @@
 /// Bound of one long poll for new jobs. Without new jobs, the counts of waiting jobs that hosts
 /// read are older by this.
 constexpr milliseconds max_jobs_wait{300};
+/// Bound of one long poll for cancellations.
+constexpr milliseconds max_cancellations_wait{500};
+/// Pause between reads of cancellations, so that those that arrive together are read together.
+constexpr milliseconds cancellations_read_interval{10};
+/// Pause after a failed read of cancellations.
+constexpr milliseconds failed_read_pause{150};
 /// Pause between reads of server registrations.
 constexpr milliseconds servers_read_interval{100};
 /// Ended jobs are cleaned up in batches; the only cost of leftover rows is a slower takeover.
@@ -216,6 +222,8 @@
         shared_.io, [self] { return self->clean_loop(); }, boost::asio::detached);
     boost::asio::co_spawn(
         shared_.io, [self] { return self->follow_servers(); }, boost::asio::detached);
+    boost::asio::co_spawn(
+        shared_.io, [self] { return self->follow_cancellations(); }, boost::asio::detached);
 }
 
 std::optional<job::progress> owner_session::read_progress(const std::string& id)
@@ -305,23 +313,77 @@
     }
 }
 
-void owner_session::apply_cancellation(const adapter::row& row)
+std::optional<milliseconds> owner_session::cancellation_age(const adapter::row& row) const
 {
-    const milliseconds now = shared_.store_time();
     const std::optional<std::optional<milliseconds>> cancelled =
         parse_or_log("cancellation_unreadable", row.key, row.version,
                      [&] { return job::parse_cancellation(row.value); });
-    std::optional<milliseconds> age;
-    if (cancelled && *cancelled)
+    if (!cancelled || !*cancelled)
     {
-        age = std::max(milliseconds(0), now - **cancelled);
+        return std::nullopt;
     }
+    return std::max(milliseconds(0), shared_.store_time() - **cancelled);
+}
+
+void owner_session::cancel_job(const std::string& id, std::optional<milliseconds> age)
+{
+    early_cancellations_.erase(id);
+    const bool is_new = scheduler_.cancel_job(id, shared_.store_time(), age);
     // A takeover reads the cancellations of former terms too.
-    if (age && loaded_)
+    if (is_new && age && loaded_)
     {
         shared_.daemon_metrics.observe_cancellation(*age);
     }
-    scheduler_.cancel_job(std::string_view(row.key).substr(cancel_prefix.size()), now, age);
+}
+
+void owner_session::apply_cancellation(const adapter::row& row)
+{
+    cancel_job(row.key.substr(cancel_prefix.size()), cancellation_age(row));
+}
+
+void owner_session::apply_early_cancellation(const adapter::row& row)
+{
+    if (row.removed || row.version <= covered_.version)
+    {
+        return;
+    }
+    if (scheduler_.knows_job(row.key))
+    {
+        cancel_job(row.key, cancellation_age(row));
+        return;
+    }
+    early_cancellations_.emplace(row.key, row);
+}
+
+boost::asio::awaitable<void> owner_session::follow_cancellations()
+{
+    const std::shared_ptr<owner_session> self = shared_from_this();
+    std::int64_t version = covered_.version;
+    while (!ended_)
+    {
+        const adapter::read_result changes = co_await shared_.store.watch(
+            cancellations_table, version, max_cancellations_wait, read_timeout);
+        if (ended_)
+        {
+            co_return;
+        }
+        if (changes.ok)
+        {
+            shared_.update_store_time(changes.store_time, changes.requested_at);
+            for (const adapter::row& row : changes.rows)
+            {
+                apply_early_cancellation(row);
+            }
+            if (!changes.rows.empty())
+            {
+                stop_timer_.cancel();
+                wake_timer_.cancel();
+            }
+        }
+        // Without the history, the feed of the jobs has what was missed.
+        version = std::max(version, changes.history_lost ? covered_.version : changes.version);
+        co_await sleep_for(shared_, changes.ok ? cancellations_read_interval : failed_read_pause);
+    }
 }
 
 void owner_session::apply_jobs(const std::vector<adapter::row>& rows)
@@ -332,6 +394,11 @@
             !scheduler_.knows_job(std::string_view(row.key).substr(job_prefix.size())))
         {
             apply_job(row);
+            const auto early = early_cancellations_.find(row.key.substr(job_prefix.size()));
+            if (early != early_cancellations_.end())
+            {
+                cancel_job(row.key.substr(job_prefix.size()), cancellation_age(early->second));
+            }
         }
     }
     for (const adapter::row& row : rows)
@@ -682,6 +749,7 @@
     {
         work.removals.push_back({std::string(jobs_table), std::string(job_prefix) + *id});
         work.removals.push_back({std::string(jobs_table), std::string(cancel_prefix) + *id});
+        work.removals.push_back({std::string(cancellations_table), *id});
         ++removed;
     }
     if (work.size() == 0)
--- a/src/manager/owner_session.hpp
+++ b/src/manager/owner_session.hpp
@@ -98,6 +98,8 @@
     boost::asio::awaitable<void> renew_while_loading();
     boost::asio::awaitable<void> follow_servers();
     boost::asio::awaitable<void> follow_jobs();
+    /// Reads cancellations ahead of the feed of the jobs, which has them too and may be behind.
+    boost::asio::awaitable<void> follow_cancellations();
     boost::asio::awaitable<void> commit_loop();
     /// Removes the definitions of ended jobs and the rows of expired ones.
     boost::asio::awaitable<void> clean_loop();
@@ -121,6 +123,11 @@
     void apply_jobs(const std::vector<adapter::row>& rows);
     void apply_job(const adapter::row& row);
     void apply_cancellation(const adapter::row& row);
+    /// Applies a row of the cancellations table.
+    void apply_early_cancellation(const adapter::row& row);
+    /// Time since the caller cancelled the job, if the row names it.
+    [[nodiscard]] std::optional<milliseconds> cancellation_age(const adapter::row& row) const;
+    void cancel_job(const std::string& id, std::optional<milliseconds> age);
     /// The stored progress of a job, from all of its rows; nothing if there is none. Adds the job
     /// to `unreadable_jobs_` if one of its rows cannot be read.
     [[nodiscard]] std::optional<job::progress> read_progress(const std::string& id);
@@ -151,6 +158,8 @@
     /// Jobs whose stored progress cannot be read. They are not scheduled, as tasks of theirs that
     /// have ended would run again.
     std::set<std::string, std::less<>> unreadable_jobs_;
+    /// Rows of the cancellations table whose jobs are not known yet, by job.
+    std::map<std::string, adapter::row, std::less<>> early_cancellations_;
     /// The scheduler knows all jobs stored up to here.
     feed_position covered_;
     bool loaded_ = false;
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -61,6 +61,7 @@
     {
         return;
     }
+    now_ = now;
     if (stored != nullptr && job::is_final(stored->reported_state))
     {
         const bool has_runs =
@@ -446,7 +447,7 @@
     }
 }
 
-void scheduler::cancel_job(std::string_view id, milliseconds store_time,
+bool scheduler::cancel_job(std::string_view id, milliseconds store_time,
                            std::optional<milliseconds> age)
 {
     store_time_ = std::max(store_time_, store_time);
@@ -454,12 +455,14 @@
     if (found == jobs_.end())
     {
         add_ended(id, store_time - age.value_or(milliseconds(0)));
-        return;
+        return false;
     }
-    if (!job::is_final(found->second->reported_state))
+    if (job::is_final(found->second->reported_state))
     {
-        finish_job(*found->second, job::state::cancelled, age);
+        return false;
     }
+    finish_job(*found->second, job::state::cancelled, age);
+    return true;
 }
 
 void scheduler::apply_end(server_state& server, const worker::ended_task& ended, steady_time now)
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -84,8 +84,9 @@
     void add_ended(std::string_view id, milliseconds ended);
 
     /// Cancels a job and stops its runs. `age` is the time since the caller cancelled it, if known.
-    /// A job that is not known counts as ended, so that it is not run if it is added later.
-    void cancel_job(std::string_view id, milliseconds store_time,
+    /// A job that is not known counts as ended, so that it is not run if it is added later. Returns
+    /// true if the job was running or waiting.
+    bool cancel_job(std::string_view id, milliseconds store_time,
                     std::optional<milliseconds> age = std::nullopt);
 
     /// Adds a server or updates it from its current registration.
--- a/tests/manager/job_api_test.cpp
+++ b/tests/manager/job_api_test.cpp
@@ -30,7 +30,10 @@
 /// An in-memory store that accepts every job.
 struct fake_store
 {
+    /// Of the jobs table.
     std::set<std::string> keys;
+    /// Jobs that have a row in the cancellations table.
+    std::set<std::string> cancellations;
     /// Transactions that name it are rejected.
     std::string rejected_key = "none";
     /// Transactions are not confirmed, and only performed by `perform_late`.
@@ -73,6 +76,11 @@
         for (const boost::json::value& write : work.at("set-keys").as_array())
         {
             const std::string key(write.at("key").as_string());
+            if (write.at("table").as_string() == cancellations_table)
+            {
+                cancellations.insert(key);
+                continue;
+            }
             mixed_transactions += jobs.insert(key.substr(2)).second ? 0 : 1;
             late_jobs += key.starts_with("j/") && keys.contains("c/" + key.substr(2)) ? 1 : 0;
             keys.insert(key);
@@ -310,6 +318,18 @@
     CHECK(store.keys.size() == 1);
 }
 
+TEST_CASE("a cancellation is stored in both of its tables", "[manager]")
+{
+    const std::string id = "00000000000000c5";
+    fake_store store;
+    entry_host host(store, milliseconds(200));
+    REQUIRE(host.request(http::method::post, id) == 200);
+    CHECK(store.cancellations.empty());
+    CHECK(host.request(http::method::delete_, id) == 200);
+    CHECK(store.keys.contains("c/" + id));
+    CHECK(store.cancellations == std::set<std::string>{id});
+}
+
 TEST_CASE("a repeated submission of a job that was cancelled later finds the job", "[manager]")
 {
     const std::string id = "00000000000000c3";
--- a/tests/manager/overloaded_owner.hpp
+++ b/tests/manager/overloaded_owner.hpp
@@ -55,6 +55,10 @@
             {
                 co_return http::make_response(http::status::service_unavailable, "{}");
             }
+            if (feed_time.count() > 0)
+            {
+                co_await wait_until(std::chrono::steady_clock::now() + feed_time);
+            }
             co_return make_reply({{"rows", std::exchange(changed_jobs, {})},
                                   {"row-version", version},
                                   {"now-ms", clock_now()}});
@@ -63,6 +67,12 @@
         {
             co_await wait_until(std::chrono::steady_clock::now() + commit_time);
         }
+        if (target.find("rows-feed?table=cancellations") != std::string::npos)
+        {
+            co_return make_reply({{"rows", std::exchange(cancellations, {})},
+                                  {"row-version", version},
+                                  {"now-ms", clock_now()}});
+        }
         boost::json::array rows;
         if (is_read && target.find("table=servers") != std::string::npos)
         {
@@ -93,6 +103,14 @@
             {{"rows", std::move(rows)}, {"row-version", version}, {"now-ms", clock_now()}});
     }
 
+    /// A row of the cancellations table that is newer than what the feed of the jobs shows.
+    [[nodiscard]] boost::json::object make_cancellation(const std::string& job) const
+    {
+        boost::json::object row = make_row("cancellations", job, "{}");
+        row["row-version"] = version + 1'000;
+        return row;
+    }
+
     static boost::json::object make_row(std::string_view table, const std::string& key,
                                         const std::string& value)
     {
@@ -116,6 +134,10 @@
     bool feed_fails = false;
     /// Delivered by the next call of that feed.
     boost::json::array changed_jobs;
+    /// How long each call of that feed takes.
+    milliseconds feed_time{0};
+    /// Delivered by the next call of the feed of the cancellations.
+    boost::json::array cancellations;
     milliseconds commit_time{0};
 };
 
