Do not take back the stop of a gang's run because a report shows the run

Callers saw: nothing yet; found by reading what clears a task's wanted stop.

Cause: a report that first shows a run as running cancelled its stop unless the job had ended. That is right for a stop sent only because a start was not answered. It is wrong for the run of a gang that was given up: if its first stop was lost, it was not repeated, and the run held its capacity until the server ended it for want of the other members.

Evidence: the new test "a report does not take back the stop of a run whose gang was given up" failed before (0 stops instead of 1) and passes now.

A stop now says whether a report of the run may take it back. A final reason, as a cancellation or the end of the gang, replaces a revocable one.

--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -391,16 +391,18 @@
     }
 }
 
-void scheduler::request_stop(const task_ref& ref)
+void scheduler::request_stop(const task_ref& ref, bool revocable)
 {
     task_state& task = ref.task();
     if (!task.stop_wanted)
     {
         task.stop_wanted = true;
+        task.stop_revocable = revocable;
         task.stop_due = now_;
         task.stop_sent = {};
         task.stop_attempts = 0;
     }
+    task.stop_revocable = task.stop_revocable && revocable;
     stops_.push_back(ref);
 }
 
@@ -591,7 +593,7 @@
         {
             requeue(other);
         }
-        else if (has_run(task) && !task.stop_wanted)
+        else if (has_run(task))
         {
             request_stop(other);
         }
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -223,8 +223,8 @@
     void detach(const task_ref& ref);
     void attach(const task_ref& ref, server_state& server);
     void requeue(const task_ref& ref);
-    /// Has the task's run stopped.
-    void request_stop(const task_ref& ref);
+    /// Has the task's run stopped. If `revocable`, a report of the run takes that back.
+    void request_stop(const task_ref& ref, bool revocable = false);
     void apply_end(server_state& server, const worker::ended_task& ended, steady_time now);
     void stop_unexpected(server_state& server, const worker::task_name& name, int run);
     /// Finishes a task that an earlier run than the present one has done.
--- a/src/scheduler/scheduler_reports.cpp
+++ b/src/scheduler/scheduler_reports.cpp
@@ -69,7 +69,7 @@
             task->phase = task_phase::running;
             task->since = now;
             task->advanced = now;
-            if (!job::is_final(ref.job->reported_state))
+            if (task->stop_revocable)
             {
                 task->stop_wanted = false;
             }
@@ -233,7 +233,7 @@
     }
     if (outcome == order_outcome::unknown)
     {
-        request_stop(ref);
+        request_stop(ref, true);
         return;
     }
     if (ref.definition().gang)
--- a/src/scheduler/scheduler_servers.cpp
+++ b/src/scheduler/scheduler_servers.cpp
@@ -206,7 +206,7 @@
         {
             task.phase = task_phase::starting;
             task.stop_sent = {};
-            request_stop(ref);
+            request_stop(ref, true);
         }
         else
         {
--- a/src/scheduler/state.hpp
+++ b/src/scheduler/state.hpp
@@ -58,6 +58,8 @@
     steady_time resolve_after{};
     /// The run has to be stopped.
     bool stop_wanted = false;
+    /// It is stopped only because it was not known to exist; a report of it takes the stop back.
+    bool stop_revocable = false;
     /// When its stop became due.
     steady_time stop_due{};
     steady_time stop_sent{};
--- a/tests/scheduler/stop_test.cpp
+++ b/tests/scheduler/stop_test.cpp
@@ -50,3 +50,31 @@
     owner.cancel_job("a", milliseconds(0), {});
     REQUIRE(owner.take_stops(now).size() == 1);
 }
+
+TEST_CASE("a report does not take back the stop of a run whose gang was given up", "[scheduler]")
+{
+    scheduler::scheduler owner{scheduler::settings{}};
+    steady_time now{std::chrono::hours(1)};
+    owner.update_server(server_of("s1"), now);
+    owner.update_server(server_of("s2"), now);
+    job::record record = make_job("a", 1, 2, 1'000, milliseconds(500));
+    record.work.steps.front().gang = true;
+    record.work.steps.front().max_per_server = 1;
+    owner.add_job(std::move(record), nullptr, {}, now);
+    const scheduler::batch work = owner.prepare(now, 10);
+    REQUIRE(work.starts.size() == 2);
+    owner.stored(work, now);
+    owner.start_answered(work.starts.front(), worker::order_outcome::no_room, now);
+    REQUIRE(owner.take_stops(now).size() == 1);
+    now += milliseconds(50);
+    const worker::start_order& other = work.starts.back();
+    worker::report report;
+    report.born = 1;
+    report.running.push_back({other.task, other.run, "", 0, 0});
+    owner.apply_report(other.server, report, now, now);
+    now += milliseconds(500);
+    const std::vector<worker::stop_order> stops = owner.take_stops(now);
+    REQUIRE(stops.size() == 1);
+    CHECK(stops.front().task == other.task);
+    CHECK(stops.front().attempt == 2);
+}
