Find duplicates in the list of stops without searching it

The list of stops was searched linearly for each of its entries, so each pass over some thousand stops took quadratic time. A flag in the task now keeps it from being listed twice.

--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -403,7 +403,11 @@
         task.stop_attempts = 0;
     }
     task.stop_revocable = task.stop_revocable && revocable;
-    stops_.push_back(ref);
+    if (!task.stop_listed)
+    {
+        task.stop_listed = true;
+        stops_.push_back(ref);
+    }
 }
 
 void scheduler::finish_job(job_state& job, job::state reported_state,
--- a/src/scheduler/scheduler_reports.cpp
+++ b/src/scheduler/scheduler_reports.cpp
@@ -290,15 +290,11 @@
     for (const task_ref& ref : stops_)
     {
         task_state& task = ref.task();
+        task.stop_listed = false;
         if (!task.stop_wanted || task.server == nullptr)
         {
             continue;
         }
-        const bool listed_twice = std::find(open.begin(), open.end(), ref) != open.end();
-        if (listed_twice)
-        {
-            continue;
-        }
         if (task.stop_sent == steady_time{} && is_evacuation(ref) &&
             unavailable_tasks(ref) > ref.definition().disruption_budget)
         {
@@ -306,6 +302,7 @@
             task.stop_wanted = false;
             continue;
         }
+        task.stop_listed = true;
         open.push_back(ref);
         if (now - task.stop_sent < settings_.stop_retry_interval)
         {
--- a/src/scheduler/state.hpp
+++ b/src/scheduler/state.hpp
@@ -60,6 +60,8 @@
     bool stop_wanted = false;
     /// It is stopped only because it was not known to exist; a report of it takes the stop back.
     bool stop_revocable = false;
+    /// The scheduler's list of stops has an entry of the task.
+    bool stop_listed = false;
     /// When its stop became due.
     steady_time stop_due{};
     steady_time stop_sent{};
--- a/tests/scheduler/stop_test.cpp
+++ b/tests/scheduler/stop_test.cpp
@@ -78,3 +78,25 @@
     CHECK(stops.front().task == other.task);
     CHECK(stops.front().attempt == 2);
 }
+
+TEST_CASE("a stop that several events request is sent once", "[scheduler]")
+{
+    constexpr int task_count = 4'000;
+    scheduler::scheduler owner{scheduler::settings{}};
+    steady_time now{std::chrono::hours(1)};
+    worker::server large = server_of("s1");
+    large.capacity = {task_count, 400'000, 0};
+    owner.update_server(large, now);
+    owner.add_job(make_job("a", 1, task_count, 1, milliseconds(500)), nullptr, {}, now);
+    const scheduler::batch work = owner.prepare(now, task_count);
+    REQUIRE(work.starts.size() == task_count);
+    owner.stored(work, now);
+    for (const worker::start_order& order : work.starts)
+    {
+        owner.start_answered(order, worker::order_outcome::unknown, now);
+    }
+    owner.cancel_job("a", milliseconds(0), {});
+    CHECK(owner.take_stops(now).size() == task_count);
+    now += milliseconds(500);
+    CHECK(owner.take_stops(now).size() == task_count);
+}
