Poll a server without tasks while a run that nobody expects is stopped there

Callers saw: nothing yet. The owner sent a stop each 0.5 s to an idle server, without an end. By reading, the capacity booked there for a run of a task that is known stayed booked as well; no test shows that.

Cause: a run that only a report shows counts until a later report lacks it. A server without tasks is not polled, so no such report came.

A server now counts these runs, and is polled while there is one.

--- a/src/manager/owner_session_orders.cpp
+++ b/src/manager/owner_session_orders.cpp
@@ -220,10 +220,10 @@
             born = server->info.born;
             acknowledged = 0;
         }
-        const bool has_work =
-            !server->tasks.empty() ||
-            (!server->incarnation_ended && (server->ends_stored > acknowledged ||
-                                            !server->fencing_confirmed || server->unanswered > 0));
+        const bool has_work = !server->tasks.empty() ||
+                              (!server->incarnation_ended &&
+                               (server->ends_stored > acknowledged || !server->fencing_confirmed ||
+                                server->unanswered > 0 || server->unexpected_runs > 0));
         // A server known only from a stored run has no address until it registers.
         if (!has_work || server->info.endpoint.port == 0)
         {
@@ -240,7 +240,8 @@
         call.deadline = server->tasks.empty() || !may_extend_leases(evidence())
                             ? milliseconds(0)
                             : scheduler_.grant_lease(*server, requested_at);
-        call.wait = server->tasks.empty() || !server->fencing_confirmed   ? milliseconds(0)
+        const bool has_runs = !server->tasks.empty() || server->unexpected_runs > 0;
+        call.wait = !has_runs || !server->fencing_confirmed               ? milliseconds(0)
                     : scheduler::scheduler::has_task_starting_up(*server) ? startup_poll_wait
                                                                           : poll_wait;
         ++counters_.polls;
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -550,7 +550,9 @@
 
 void scheduler::stop_unexpected(server_state& server, const worker::task_name& name, int run)
 {
-    unexpected_run& entry = unexpected_runs_[{server.info.id, name}];
+    const auto found = unexpected_runs_.try_emplace({server.info.id, name});
+    server.unexpected_runs += found.second ? 1 : 0;
+    unexpected_run& entry = found.first->second;
     if (run > entry.run)
     {
         entry.run = run;
--- a/src/scheduler/scheduler_reports.cpp
+++ b/src/scheduler/scheduler_reports.cpp
@@ -90,6 +90,7 @@
         if (over)
         {
             server.used -= entry->second.booked;
+            --server.unexpected_runs;
             plan_needed_ = true;
         }
         entry = over ? unexpected_runs_.erase(entry) : std::next(entry);
--- a/src/scheduler/state.hpp
+++ b/src/scheduler/state.hpp
@@ -213,6 +213,8 @@
     int long_running_tasks = 0;
     /// Best-effort tasks among `tasks`; these reserve no CPU.
     int best_effort = 0;
+    /// Runs here that are not the current ones of their tasks.
+    int unexpected_runs = 0;
     /// An order that ends all runs here, a move or a maintenance, is about to be sent or under way.
     bool ending = false;
     /// No new runs: the machine is to be moved or maintained, or is being drained.
--- a/tests/manager/owner_overload_test.cpp
+++ b/tests/manager/owner_overload_test.cpp
@@ -144,6 +144,7 @@
         const std::string task(body.at("task").as_string());
         const std::int64_t run = body.at("run").as_int64();
         std::int64_t& closed = closed_runs[server][task];
+        stops += target == "/lacewingquay/run-stop" ? 1 : 0;
         if (target == "/lacewingquay/run-stop" && lost_stops > 0)
         {
             --lost_stops;
@@ -178,6 +179,7 @@
     std::map<std::string, std::map<std::string, std::int64_t>> running;
     std::map<std::string, std::map<std::string, std::int64_t>> closed_runs;
     std::size_t starts = 0;
+    std::size_t stops = 0;
     std::chrono::steady_clock::time_point stopped_at{};
     /// So many stop orders are neither executed nor answered.
     int lost_stops = 0;
@@ -402,3 +404,16 @@
     CHECK(owner.time_to_stop(1, limit) < limit);
     CHECK_FALSE(owner.servers.running["s0"].contains("other.0.0.0"));
 }
+
+TEST_CASE("a stop is not repeated after its run has ended on a server without tasks", "[manager]")
+{
+    // Idle servers were not polled, so the owner never learned of the end.
+    overloaded_owner owner(2, 1);
+    owner.servers.running["s0"]["other.0.0.0"] = 1;
+    owner.servers.running["s1"]["other.0.0.1"] = 1;
+    owner.time_to_run(10, milliseconds(1'500));
+    REQUIRE(owner.servers.running_tasks() == 1);
+    const std::size_t stops = owner.servers.stops;
+    owner.time_to_run(10, milliseconds(1'500));
+    CHECK(owner.servers.stops == stops);
+}
