--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -392,17 +392,23 @@
     }
 }
 
-void scheduler::request_stop(const task_ref& ref)
+void scheduler::request_stop(const task_ref& ref, bool revocable)
 {
     task_state& task = ref.task();
     if (!task.stop_wanted)
     {
         task.stop_wanted = true;
+        task.stop_revocable = revocable;
         task.stop_due = now_;
         task.stop_sent = {};
         task.stop_attempts = 0;
     }
-    stops_.push_back(ref);
+    task.stop_revocable = task.stop_revocable && revocable;
+    if (!task.stop_listed)
+    {
+        task.stop_listed = true;
+        stops_.push_back(ref);
+    }
 }
 
 void scheduler::finish_job(job_state& job, job::state reported_state,
@@ -552,7 +558,9 @@
 
 void scheduler::stop_unexpected(server_state& server, const worker::task_name& name, int run)
 {
-    unexpected_run& entry = unexpected_runs_[{server.info.id, name}];
+    const auto found = unexpected_runs_.try_emplace({server.info.id, name});
+    server.unexpected_runs += found.second ? 1 : 0;
+    unexpected_run& entry = found.first->second;
     if (run > entry.run)
     {
         entry.run = run;
@@ -599,7 +607,7 @@
         {
             requeue(other);
         }
-        else if (has_run(task) && !task.stop_wanted)
+        else if (has_run(task))
         {
             request_stop(other);
         }
--- a/src/scheduler/scheduler_reports.cpp
+++ b/src/scheduler/scheduler_reports.cpp
@@ -69,7 +69,7 @@
             task->phase = task_phase::running;
             task->since = now;
             task->advanced = now;
-            if (!job::is_final(ref.job->reported_state))
+            if (task->stop_revocable)
             {
                 task->stop_wanted = false;
             }
@@ -90,6 +90,7 @@
         if (over)
         {
             server.used -= entry->second.booked;
+            --server.unexpected_runs;
             plan_needed_ = true;
         }
         entry = over ? unexpected_runs_.erase(entry) : std::next(entry);
@@ -233,7 +234,7 @@
     }
     if (outcome == order_outcome::unknown)
     {
-        request_stop(ref);
+        request_stop(ref, true);
         return;
     }
     if (ref.definition().gang)
@@ -290,15 +291,11 @@
     for (const task_ref& ref : stops_)
     {
         task_state& task = ref.task();
+        task.stop_listed = false;
         if (!task.stop_wanted || task.server == nullptr)
         {
             continue;
         }
-        const bool listed_twice = std::find(open.begin(), open.end(), ref) != open.end();
-        if (listed_twice)
-        {
-            continue;
-        }
         if (task.stop_sent == steady_time{} && is_evacuation(ref) &&
             unavailable_tasks(ref) > ref.definition().disruption_budget)
         {
@@ -306,6 +303,7 @@
             task.stop_wanted = false;
             continue;
         }
+        task.stop_listed = true;
         open.push_back(ref);
         if (now - task.stop_sent < settings_.stop_retry_interval)
         {
--- a/src/scheduler/state.hpp
+++ b/src/scheduler/state.hpp
@@ -58,6 +58,10 @@
     steady_time resolve_after{};
     /// The run has to be stopped.
     bool stop_wanted = false;
+    /// It is stopped only because it was not known to exist; a report of it takes the stop back.
+    bool stop_revocable = false;
+    /// The scheduler's list of stops has an entry of the task.
+    bool stop_listed = false;
     /// When its stop became due.
     steady_time stop_due{};
     steady_time stop_sent{};
@@ -209,6 +213,8 @@
     int long_running_tasks = 0;
     /// Best-effort tasks among `tasks`; these reserve no CPU.
     int best_effort = 0;
+    /// Runs here that are not the current ones of their tasks.
+    int unexpected_runs = 0;
     /// An order that ends all runs here, a move or a maintenance, is about to be sent or under way.
     bool ending = false;
     /// No new runs: the machine is to be moved or maintained, or is being drained.
--- a/tests/manager/overloaded_owner.hpp
+++ b/tests/manager/overloaded_owner.hpp
@@ -171,6 +171,7 @@
         const std::string task(body.at("task").as_string());
         const std::int64_t run = body.at("run").as_int64();
         std::int64_t& closed = closed_runs[server][task];
+        stops += target == "/lacewingquay/run-stop" ? 1 : 0;
         if (target == "/lacewingquay/run-stop" && lost_stops > 0)
         {
             --lost_stops;
@@ -207,6 +208,7 @@
     std::map<std::string, std::map<std::string, std::int64_t>> running;
     std::map<std::string, std::map<std::string, std::int64_t>> closed_runs;
     std::size_t starts = 0;
+    std::size_t stops = 0;
     /// When the latest run was ended by a stop.
     std::chrono::steady_clock::time_point stopped_at{};
     /// So many stop orders are neither executed nor answered.
--- a/tests/manager/owner_overload_test.cpp
+++ b/tests/manager/owner_overload_test.cpp
@@ -149,3 +149,16 @@
     CHECK(owner.store.changed_jobs.empty());
     CHECK(owner.servers.running_tasks() == 1);
 }
+
+TEST_CASE("a stop is not repeated after its run has ended on a server without tasks", "[manager]")
+{
+    // Idle servers were not polled, so the owner never learned of the end.
+    overloaded_owner owner(2, 1);
+    owner.servers.running["s0"]["other.0.0.0"] = 1;
+    owner.servers.running["s1"]["other.0.0.1"] = 1;
+    owner.time_to_run(10, milliseconds(1'500));
+    REQUIRE(owner.servers.running_tasks() == 1);
+    const std::size_t stops = owner.servers.stops;
+    owner.time_to_run(10, milliseconds(1'500));
+    CHECK(owner.servers.stops == stops);
+}
