Answer and log cancellations within their time

From the review of the fixes, found by reading: - A DELETE of an unknown job could take 0.8 s, or 4 s more on a trickling answer, beyond its caller's deadline. The look for the job now has what is left of it, and only pages and feeds may arrive beyond their timeout. - Stops of a cancellation waited for one more turn of a busy event loop. The pages name both rows of a cancellation.

--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -31,7 +31,7 @@
     /// An answer that arrives in parts is read beyond `deadline` as long as no part of it is later
     /// than this after the one before; zero if `deadline` holds for all of it.
     std::chrono::milliseconds idle_timeout{0};
-    /// Limit of `idle_timeout`: the answer is given up this long after `deadline`.
+    /// Most time beyond `deadline` that `idle_timeout` grants. Needs a finite `deadline`.
     std::chrono::milliseconds max_extension{0};
     /// Largest accepted body of the answer, in bytes.
     std::size_t body_limit = 16U << 20U;
--- a/src/manager/job_api.cpp
+++ b/src/manager/job_api.cpp
@@ -344,8 +344,11 @@
     }
     if (!known)
     {
+        const milliseconds time_left =
+            std::chrono::duration_cast<milliseconds>(deadline - shared_.now());
         const adapter::read_result row =
-            co_await shared_.store.read_row(jobs_table, std::string(job_prefix) + id, read_timeout);
+            co_await shared_.store.read_row(jobs_table, std::string(job_prefix) + id,
+                                            std::clamp(time_left, milliseconds(0), read_timeout));
         if (row.ok && row.rows.empty())
         {
             co_return error_response(http::status::gone, "no such job", 0);
@@ -448,11 +451,11 @@
         {
             const std::shared_ptr<pending_write>& entry = from.pending[index];
             const adapter::row_write write{std::string(jobs_table), entry->key, entry->value};
-            // The second part is the condition on the cancellation of a new job, or the second row
-            // of a cancellation.
+            // Counts a second row of the same key: a new job has a condition on its cancellation,
+            // and a cancellation has a row in each of its tables.
+            const std::string second = entry->is_new ? std::string() : entry->value;
             bytes += adapter::encoded_size(write) +
-                     adapter::encoded_size({std::string(cancellations_table), entry->key,
-                                            entry->is_new ? std::string() : entry->value});
+                     adapter::encoded_size({std::string(cancellations_table), entry->key, second});
             if (bytes > adapter::max_transaction_bytes && !batch.empty())
             {
                 break;
--- a/src/manager/metrics.cpp
+++ b/src/manager/metrics.cpp
@@ -15,7 +15,7 @@
 const prometheus::Histogram::BucketBoundaries job_buckets{0.5, 1.0, 1.5,  2.0,  3.0,  4.0,
                                                           6.0, 9.0, 15.0, 30.0, 60.0, 120.0};
 
-/// Upper bounds in seconds, up to the time by which nothing of a cancelled job may be started.
+/// Upper bounds in seconds.
 const prometheus::Histogram::BucketBoundaries cancellation_buckets{0.05, 0.1, 0.2, 0.5,
                                                                    1.0,  2.0, 3.0, 4.0};
 
--- a/src/manager/owner_session.cpp
+++ b/src/manager/owner_session.cpp
@@ -341,24 +341,36 @@
     cancel_job(row.key.substr(cancel_prefix.size()), cancellation_age(row));
 }
 
-void owner_session::apply_early_cancellation(const adapter::row& row)
+void owner_session::apply_early_cancellations(std::span<const adapter::row> rows)
 {
-    if (row.removed || row.version <= covered_.version)
+    for (const adapter::row& row : rows)
     {
-        return;
+        // The feed of the jobs has delivered what it covers.
+        if (row.removed || row.version <= covered_.version)
+        {
+            continue;
+        }
+        if (scheduler_.knows_job(row.key))
+        {
+            cancel_job(row.key, cancellation_age(row));
+        }
+        else
+        {
+            early_cancellations_.emplace(row.key, row);
+        }
     }
-    if (scheduler_.knows_job(row.key))
+    if (!rows.empty())
     {
-        cancel_job(row.key, cancellation_age(row));
-        return;
+        send_stops();
+        wake_timer_.cancel();
     }
-    early_cancellations_.emplace(row.key, row);
 }
 
 boost::asio::awaitable<void> owner_session::follow_cancellations()
 {
     const std::shared_ptr<owner_session> self = shared_from_this();
     std::int64_t version = covered_.version;
+    bool is_read = true;
     while (!ended_)
     {
         const adapter::read_result changes = co_await shared_.store.watch(
@@ -370,15 +382,14 @@
         if (changes.ok)
         {
             shared_.update_store_time(changes.store_time, changes.requested_at);
-            for (const adapter::row& row : changes.rows)
-            {
-                apply_early_cancellation(row);
-            }
-            if (!changes.rows.empty())
-            {
-                stop_timer_.cancel();
-                wake_timer_.cancel();
-            }
+            apply_early_cancellations(changes.rows);
+        }
+        if (changes.ok != is_read)
+        {
+            is_read = changes.ok;
+            log_event(log_level::warning,
+                      is_read ? "cancellations_read_again" : "cancellations_not_read",
+                      {{"term", term_}, {"version", version}, {"reason", changes.reason}});
         }
         // Without the history, the feed of the jobs has what was missed.
         version = std::max(version, changes.history_lost ? covered_.version : changes.version);
@@ -408,7 +419,10 @@
             apply_cancellation(row);
         }
     }
-    stop_timer_.cancel();
+    if (loaded_)
+    {
+        send_stops();
+    }
     wake_timer_.cancel();
 }
 
--- a/src/manager/owner_session.hpp
+++ b/src/manager/owner_session.hpp
@@ -123,8 +123,8 @@
     void apply_jobs(const std::vector<adapter::row>& rows);
     void apply_job(const adapter::row& row);
     void apply_cancellation(const adapter::row& row);
-    /// Applies a row of the cancellations table.
-    void apply_early_cancellation(const adapter::row& row);
+    /// Applies rows of the cancellations table that the feed of the jobs has not delivered yet.
+    void apply_early_cancellations(std::span<const adapter::row> rows);
     /// Time since the caller cancelled the job, if the row names it.
     [[nodiscard]] std::optional<milliseconds> cancellation_age(const adapter::row& row) const;
     void cancel_job(const std::string& id, std::optional<milliseconds> age);
--- a/src/scheduler/scheduler_reports.cpp
+++ b/src/scheduler/scheduler_reports.cpp
@@ -259,6 +259,11 @@
         end_incarnation(order.server, order.server_born, now);
         return;
     }
+    const bool was_needless = outcome == worker::order_outcome::not_sent && !is_stop_due(order);
+    if (was_needless)
+    {
+        return;
+    }
     if (outcome != worker::order_outcome::accepted)
     {
         log_event(log_level::info, "stop_failed",
