--- a/src/manager/owner_session.cpp
+++ b/src/manager/owner_session.cpp
@@ -11,7 +11,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <functional>
 #include <utility>
 
 namespace lacewingquay::manager
@@ -27,8 +26,6 @@
 /// Longest time between two iterations of the commit loop, so that expired leases and due times
 /// are noticed.
 constexpr milliseconds max_round_interval{100};
-/// Longest time until a stop that has become due is sent or repeated.
-constexpr milliseconds stop_check_interval{100};
 /// Progress rows in one transaction; the other entries are its condition, the owner's rows and the
 /// removals of expired jobs.
 constexpr std::size_t max_progress_rows = 80;
@@ -40,44 +37,8 @@
 /// Bound of one long poll for new jobs. Without new jobs, the counts of waiting jobs that hosts
 /// read are older by this.
 constexpr milliseconds max_jobs_wait{300};
-/// Bound of one long poll for cancellations.
-constexpr milliseconds max_cancellations_wait{500};
-/// Pause between reads of cancellations, so that those that arrive together are read together.
-constexpr milliseconds cancellations_read_interval{10};
-/// Pause after a failed read of cancellations.
-constexpr milliseconds failed_read_pause{150};
 /// Pause between reads of server registrations.
 constexpr milliseconds servers_read_interval{100};
-/// Ended jobs are cleaned up in batches; the only cost of leftover rows is a slower takeover.
-constexpr milliseconds clean_interval{10'000};
-constexpr std::size_t max_clean_entries = 90;
-
-/// Writes one line for each job, as a cancelled job may have many runs.
-void log_stops(std::span<const worker::stop_order> orders)
-{
-    struct summary
-    {
-        std::size_t runs = 0;
-        std::size_t repeated = 0;
-        milliseconds due_for{0};
-    };
-    std::map<std::string_view, summary> jobs;
-    for (const worker::stop_order& order : orders)
-    {
-        summary& job = jobs[order.task.job];
-        ++job.runs;
-        job.repeated += order.attempt > 1 ? 1 : 0;
-        job.due_for = std::max(job.due_for, order.due_for);
-    }
-    for (const std::pair<const std::string_view, summary>& entry : jobs)
-    {
-        log_event(log_level::info, "stops_sent",
-                  {{"job", entry.first},
-                   {"runs", entry.second.runs},
-                   {"repeated", entry.second.repeated},
-                   {"due_for_ms", entry.second.due_for.count()}});
-    }
-}
 
 scheduler::settings scheduler_settings(const settings& values)
 {
@@ -313,90 +274,6 @@
     }
 }
 
-std::optional<milliseconds> owner_session::cancellation_age(const adapter::row& row) const
-{
-    const std::optional<std::optional<milliseconds>> cancelled =
-        parse_or_log("cancellation_unreadable", row.key, row.version,
-                     [&] { return job::parse_cancellation(row.value); });
-    if (!cancelled || !*cancelled)
-    {
-        return std::nullopt;
-    }
-    return std::max(milliseconds(0), shared_.store_time() - **cancelled);
-}
-
-void owner_session::cancel_job(const std::string& id, std::optional<milliseconds> age)
-{
-    early_cancellations_.erase(id);
-    const bool is_new = scheduler_.cancel_job(id, shared_.store_time(), age);
-    // A takeover reads the cancellations of former terms too.
-    if (is_new && age && loaded_)
-    {
-        shared_.daemon_metrics.observe_cancellation(*age);
-    }
-}
-
-void owner_session::apply_cancellation(const adapter::row& row)
-{
-    cancel_job(row.key.substr(cancel_prefix.size()), cancellation_age(row));
-}
-
-void owner_session::apply_early_cancellations(std::span<const adapter::row> rows)
-{
-    for (const adapter::row& row : rows)
-    {
-        // The feed of the jobs has delivered what it covers.
-        if (row.removed || row.version <= covered_.version)
-        {
-            continue;
-        }
-        if (scheduler_.knows_job(row.key))
-        {
-            cancel_job(row.key, cancellation_age(row));
-        }
-        else
-        {
-            early_cancellations_.emplace(row.key, row);
-        }
-    }
-    if (!rows.empty())
-    {
-        send_stops();
-        wake_timer_.cancel();
-    }
-}
-
-boost::asio::awaitable<void> owner_session::follow_cancellations()
-{
-    const std::shared_ptr<owner_session> self = shared_from_this();
-    std::int64_t version = covered_.version;
-    bool is_read = true;
-    while (!ended_)
-    {
-        const adapter::read_result changes = co_await shared_.store.watch(
-            cancellations_table, version, max_cancellations_wait, read_timeout);
-        if (ended_)
-        {
-            co_return;
-        }
-        if (changes.ok)
-        {
-            shared_.update_store_time(changes.store_time, changes.requested_at);
-            apply_early_cancellations(changes.rows);
-        }
-        if (changes.ok != is_read)
-        {
-            is_read = changes.ok;
-            log_event(log_level::warning,
-                      is_read ? "cancellations_read_again" : "cancellations_not_read",
-                      {{"term", term_}, {"version", version}, {"reason", changes.reason}});
-        }
-        // Without the history, the feed of the jobs has what was missed.
-        version = std::max(version, changes.history_lost ? covered_.version : changes.version);
-        co_await sleep_for(shared_, changes.ok ? cancellations_read_interval : failed_read_pause);
-    }
-}
-
 void owner_session::apply_jobs(const std::vector<adapter::row>& rows)
 {
     for (const adapter::row& row : rows)
@@ -610,32 +487,6 @@
     return !held;
 }
 
-void owner_session::send_stops()
-{
-    std::vector<worker::stop_order> orders = scheduler_.take_stops(shared_.now());
-    log_stops(orders);
-    for (worker::stop_order& order : orders)
-    {
-        counters_.repeated_stops += order.attempt > 1 ? 1 : 0;
-        boost::asio::co_spawn(
-            shared_.io,
-            [self = shared_from_this(), stop = std::move(order)]() mutable
-            { return self->send_stop(std::move(stop)); },
-            boost::asio::detached);
-    }
-}
-
-boost::asio::awaitable<void> owner_session::stop_loop()
-{
-    const std::shared_ptr<owner_session> self = shared_from_this();
-    while (!ended_)
-    {
-        send_stops();
-        stop_timer_.expires_after(stop_check_interval);
-        co_await stop_timer_.async_wait(nothrow_awaitable);
-    }
-}
-
 boost::asio::awaitable<void> owner_session::commit_loop()
 {
     const std::shared_ptr<owner_session> self = shared_from_this();
@@ -710,78 +561,4 @@
     }
 }
 
-boost::asio::awaitable<void> owner_session::clean_loop()
-{
-    const std::shared_ptr<owner_session> self = shared_from_this();
-    std::vector<std::string> ended;
-    std::vector<std::string> expired;
-    while (!ended_)
-    {
-        co_await sleep_for(shared_, clean_interval);
-        if (ended_ || releasing_ || shared_.store_unavailable)
-        {
-            continue;
-        }
-        for (std::string& id : scheduler_.take_ended())
-        {
-            ended.push_back(std::move(id));
-        }
-        for (std::string& id :
-             scheduler_.take_expired(shared_.store_time(), shared_.config.result_retention))
-        {
-            expired.push_back(std::move(id));
-        }
-        for (std::size_t partition = 0; partition < adapter::store::parts_of(jobs_table);
-             ++partition)
-        {
-            co_await clean_partition(partition, ended, expired);
-        }
-    }
-}
-
-boost::asio::awaitable<void> owner_session::clean_partition(std::size_t partition,
-                                                            std::vector<std::string>& ended,
-                                                            std::vector<std::string>& expired)
-{
-    const auto belongs = [partition](const std::string& id)
-    {
-        return adapter::store::group_of(id) == partition;
-    };
-    const auto ended_here = std::stable_partition(ended.begin(), ended.end(), std::not_fn(belongs));
-    const auto expired_here =
-        std::stable_partition(expired.begin(), expired.end(), std::not_fn(belongs));
-    adapter::transaction work;
-    std::size_t dropped = 0;
-    std::size_t removed = 0;
-    for (auto id = ended_here; id != ended.end() && work.size() < max_clean_entries; ++id)
-    {
-        // The row stays without its definition, so that a late retry of the caller finds the job.
-        work.writes.push_back({std::string(jobs_table), std::string(job_prefix) + *id, ""});
-        ++dropped;
-    }
-    for (auto id = expired_here; id != expired.end() && work.size() < max_clean_entries; ++id)
-    {
-        work.removals.push_back({std::string(jobs_table), std::string(job_prefix) + *id});
-        work.removals.push_back({std::string(jobs_table), std::string(cancel_prefix) + *id});
-        work.removals.push_back({std::string(cancellations_table), *id});
-        ++removed;
-    }
-    if (work.size() == 0)
-    {
-        co_return;
-    }
-    const adapter::commit_result result = co_await shared_.store.commit(work, commit_timeout);
-    if (result.outcome != adapter::commit_outcome::done)
-    {
-        log_event(log_level::warning, "jobs_not_cleaned",
-                  {{"ended", dropped}, {"expired", removed}, {"reason", result.reason}});
-        co_return;
-    }
-    ended.erase(ended_here, ended_here + static_cast<std::ptrdiff_t>(dropped));
-    // Progress is removed after the job: a job without progress would run again.
-    const auto end = expired_here + static_cast<std::ptrdiff_t>(removed);
-    progress_to_remove_.insert(progress_to_remove_.end(), expired_here, end);
-    expired.erase(expired_here, end);
-}
-
 } // namespace lacewingquay::manager
