--- a/review/deployment2.py
+++ b/review/deployment2.py
@@ -302,6 +302,8 @@
             return 400, {}
         minion = found[0]
         move = target.endswith("/machine-move")
+        self.world.orders.append((time.monotonic(), minion.machine, "move" if move else "upkeep",
+                                  headers.get("duty-holder"), headers.get("fencing-token")))
         self.world.note("machine order", minion.machine, order="move" if move else "upkeep", body=body,
                         holder=headers.get("duty-holder"), token=headers.get("fencing-token"))
         if move and minion.service == body["pool"]:
@@ -328,8 +330,9 @@
         self.folder, self.services, self.hosts = folder, services, hosts
         self.net = f"127.{random.randint(64, 250)}.{random.randint(1, 250)}"
         self.began, self.lines, self.woken = time.monotonic(), [], asyncio.Event()
-        self.minions, self.runs, self.jobs, self.processes = [], [], {}, {}
-        self.store, self.cloud = Store(), Cloud(self)
+        self.minions, self.runs, self.jobs, self.orders = [], [], {}, []
+        self.processes, self.commands = {}, {}
+        self.store, self.cloud, self.guards = Store(), Cloud(self), True
 
     def ip(self, number):
         return f"{self.net}.{number}"
@@ -367,10 +370,34 @@
             path = self.folder / f"{name}.json"
             path.write_text(json.dumps(fields))
             environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
-            with open(self.folder / f"{name}.log", "ab") as log:
-                self.processes[name] = await asyncio.create_subprocess_exec(
-                    *command, stdout=log, stderr=log, cwd=ROOT,
-                    env={**environment, "LACEWINGQUAY_SETTINGS": str(path)})
+            self.commands[name] = (command, {**environment, "LACEWINGQUAY_SETTINGS": str(path)})
+            await self.start_process(name)
+
+    async def start_process(self, name):
+        command, environment = self.commands[name]
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.processes[name] = await asyncio.create_subprocess_exec(
+                *command, stdout=log, stderr=log, cwd=ROOT, env=environment)
+        self.note("process starts", name)
+
+    async def stop_and_start(self, name):
+        """A planned stop: SIGTERM, SIGKILL after the grace, and a start with the settings of that moment."""
+        process = self.processes[name]
+        self.note("SIGTERM", name)
+        process.send_signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(process.wait(), GRACE)
+        except asyncio.TimeoutError:
+            process.kill()
+            await process.wait()
+        self.note("process ends", name)
+        await asyncio.sleep(RESTART)
+        await self.start_process(name)
+
+    def owner(self):
+        """The host that the owner's row names, or nothing."""
+        row = self.store.rows.get(("owner", "q", "owner"))
+        return json.loads(row[0])["host"] if row else None
 
     async def heartbeats(self):
         """Registrations: renewed each heartbeat, removed after three of silence."""
@@ -393,7 +420,7 @@
             await minion.start()
         self.store.write("op", "config", {
             "version": 7, "limits": {},
-            "services": [{"name": name, "admission-check": True} for name in self.services],
+            "services": [{"name": name, "admission-check": self.guards} for name in self.services],
             "routes": [{"host": CALL_HOST, "prefix": f"/{name}/", "service": name, "priority": 0, "stretch": 2.0,
                         "max-attempts": 4, "target-completion-ms": 2500} for name in self.services]})
         self.beats = asyncio.create_task(self.heartbeats())
