--- a/review/deployment2.py
+++ b/review/deployment2.py
@@ -161,6 +161,8 @@
         self.service, self.cpu, self.rack = service, cpu, rack
         self.ip = world.ip(100 + number)
         self.up = False
+        # Its machine's zone, and whether it reaches the store.
+        self.zone, self.connected = "fi-south-a", True
 
     async def start(self):
         self.born, self.begun = int(time.time() * 1000), time.monotonic()
@@ -186,7 +188,7 @@
 
     def registration(self):
         self.seq += 1
-        return {"service": self.service, "address": f"{self.ip}:{MINION}", "zone": "fi-south-a", "version": "1",
+        return {"service": self.service, "address": f"{self.ip}:{MINION}", "zone": self.zone, "version": "1",
                 "slots": 8, "state": "ready", "cold-remaining-ms": 0, "seq": self.seq, "born": self.born,
                 "machine": self.machine, "capacity": {"cpu": self.cpu, "mem-mb": 65536, "gpu": 0},
                 "labels": ["a", self.rack], "clock-ms": self.clock()}
@@ -292,7 +294,7 @@
     async def answer(self, _method, target, headers, body):
         if urlsplit(target).path.endswith("/machines"):
             rows = [{"machine": each.machine, "pool": each.service,
-                     "state": self.away.get(each.machine, "up" if each.up else "down"), "zone": "fi-south-a",
+                     "state": self.away.get(each.machine, "up" if each.up else "down"), "zone": each.zone,
                      "labels": ["a", each.rack], "capacity": {"cpu": each.cpu, "mem-mb": 65536, "gpu": 0},
                      "id": each.id} for each in self.world.minions]
             return 200, {"machines": rows, "next-token": ""}
@@ -337,6 +339,16 @@
     def ip(self, number):
         return f"{self.net}.{number}"
 
+    def zone_of_host(self, _number):
+        return "fi-south-a"
+
+    def store_of_host(self, _number):
+        """The address at which this host reaches the store."""
+        return f"{self.ip(200)}:{PLATFORM}"
+
+    def cloud_of_host(self, _number):
+        return f"{self.ip(201)}:{PLATFORM}"
+
     def note(self, what, where, **fields):
         text = " ".join(f"{key}={value}" for key, value in fields.items())
         self.lines.append(f"{time.monotonic() - self.began:8.3f} {what} {where} {text}".rstrip())
@@ -349,22 +361,23 @@
         deploy = (ROOT / "deploy" / "system.toml").read_text()
         command = re.search(r'^run = "(.*)"', deploy, re.M).group(1).split()
         for number in range(self.hosts):
-            name, ip = f"edge-fi-south-a-{number + 1}", self.ip(10 + number)
+            zone, ip = self.zone_of_host(number), self.ip(10 + number)
+            name = f"edge-{zone}-{number + 1}"
             fields = {
                 "node": name, "role": "entry", "machine-class": "edge", "serves": ["edge", "control"], "ip": ip,
-                "zone": "fi-south-a", "region": "fi-south", "internal-ports": [7060, 7075],
+                "zone": zone, "region": "fi-south", "internal-ports": [7060, 7075],
                 "seeds": [f"{self.ip(10)}:{CONTROL}"], "bootstrap": True, "counts-loss": False,
                 "discovery": "platform", "entry": "vip", "heartbeat-ms": 1500, "orders": "call", "advice": "",
                 "contracts": ["base", "drain", "config", "cost", "recover", "sched", "platform", "advice", "upkeep",
                               "sharing"],
-                "zones": {"fi-south-a": "fi-south"},
+                "zones": {self.zone_of_host(each): "fi-south" for each in range(self.hosts)},
                 "listen": {"front": f"{ip}:{FRONT}", "readiness": f"{ip}:{READINESS}", "control": f"{ip}:{CONTROL}"},
                 "limits": {"cpu-share": 0.25, "cores": 1, "memory-mb": 260, "max-fds": 4100, "link-mbps": 1000.0},
                 "fault-tolerance": {"machines": 2, "zones": 1, "regions": 0}, "bounds": BOUNDS,
-                "platform": {"address": f"{self.ip(200)}:{PLATFORM}", "form": "table", "writes-per-s": 600,
+                "platform": {"address": self.store_of_host(number), "form": "table", "writes-per-s": 600,
                              "reads-per-s": 2000, "tx-ms": 5.0, "part-writes-s": 200, "row-bytes": 65536,
                              "cross-shard": False, "history-s": 20},
-                "cloud": {"address": f"{self.ip(201)}:{PLATFORM}", "rate-per-s": 64.0, "duties": [],
+                "cloud": {"address": self.cloud_of_host(number), "rate-per-s": 64.0, "duties": [],
                           "duty-per-s": 64.0}}
             # deploy/settings.json is the template {{.|json}}: all fields.
             path = self.folder / f"{name}.json"
@@ -406,6 +419,7 @@
                 now = time.monotonic()
                 if minion.up:
                     minion.advance()
+                if minion.up and minion.connected:
                     if now - minion.last_beat >= HEARTBEAT:
                         minion.last_beat = now
                         self.store.write("servers", minion.id, minion.registration())
@@ -413,6 +427,9 @@
                     self.store.remove("servers", minion.id)
             await asyncio.sleep(0.02)
 
+    async def prepare(self):
+        """For what a case needs besides."""
+
     async def start(self):
         await self.store.listener.open(self.ip(200), PLATFORM)
         await self.cloud.listener.open(self.ip(201), PLATFORM)
@@ -514,7 +531,7 @@
     return found
 
 
-def run(case, play, services, minions, hosts=3):
+def run(case, play, services, minions, hosts=3, world_type=World):
     """Plays a case; `play(world, trouble)` returns the breaches as texts. Ends with 0, 1 or 2."""
     folder = pathlib.Path(case).resolve().parent
     trouble = os.environ.get("TROUBLE", "1") != "0"
@@ -523,10 +540,11 @@
     async def main():
         nonlocal result
         with tempfile.TemporaryDirectory() as temporary:
-            world = World(pathlib.Path(temporary), services, hosts)
+            world = world_type(pathlib.Path(temporary), services, hosts)
             for number, (service, cpu, rack) in enumerate(minions):
                 world.minions.append(Minion(world, number, service, cpu, rack))
             try:
+                await world.prepare()
                 await world.start()
                 breaches = await play(world, trouble)
                 ended = [name for name, process in world.processes.items() if process.returncode is not None]
@@ -542,7 +560,7 @@
                     log = (world.folder / f"{name}.log").read_text(errors="replace").splitlines()
                     world.lines += [f"log {name} {line}" for line in log if KEPT.search(line)]
             record = world.lines + [f"breach {line}" for line in lines] + [f"result {result}"]
-            (folder / "record.txt").write_text("\n".join(record).replace(str(ROOT), ".") + "\n")
+            (folder / os.environ.get("RECORD", "record.txt")).write_text("\n".join(record).replace(str(ROOT), ".") + "\n")
 
     try:
         asyncio.run(main())
@@ -556,6 +574,6 @@
 
 
 # Lines of the daemons' logs that a record keeps.
-KEPT = re.compile(r'"event":"(takeover|ownership_\w+|server_\w+|runs_lost|task_given_up|task_crash_counted|job_ended|'
+KEPT = re.compile(r'"event":"(takeover|ownership_\w+|server_\w+|runs_lost|look_failed|task_given_up|task_crash_counted|job_ended|'
                   r'job_accepted|tasks_started|machine_maintenance|machine_move|run_unexpected|start_failed|'
-                  r'configuration|handler_failed|cut_off|store_lost|store_regained)"')
+                  r'configuration|handler_failed|cut_off|cut_off_ended|store_lost|store_regained)"')
