Extend leases only while no other host can have taken over

Callers saw two runs of a task at once (TWICE): a zone with the owner was cut off, back for 0.4 s and cut off again, and the former owner kept runs alive that its successor had started elsewhere.

Cause: beyond 2.5 s after the store's last confirmation, leases were extended as long as the store did not answer and this host did not count as isolated. Both facts are of the present moment; one answered read clears them. After the next failed call the host counted as one in an outage of the whole store until a check of other hosts was over, however long it had been isolated before.

Why it works: sole_ownership keeps the time up to which no other host can have taken over. The store's confirmation sets it. A check of other hosts moves it on only if it shows an outage of the whole store that joins the time that was certain before, without room for a takeover (1.4 s) in between; after a doubt only the store clears it. A successor counts on 2.5 s from that time, as before. Hosts report how long the store has not answered them and the newest term they know; a later term ends the session.

--- a/src/manager/context.hpp
+++ b/src/manager/context.hpp
@@ -96,8 +96,6 @@
     std::map<std::string, host_record> hosts;
     /// Start of the current outage; valid while `store_unavailable` is set.
     steady_time store_unavailable_since{};
-    /// When the latest of the calls that failed was made.
-    steady_time failed_call_made{};
     bool stopping = false;
 };
 
--- a/src/manager/daemon.cpp
+++ b/src/manager/daemon.cpp
@@ -18,10 +18,13 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <csignal>
+#include <exception>
 #include <iostream>
 #include <memory>
 #include <utility>
+#include <vector>
 
 namespace lacewingquay::manager
 {
@@ -39,6 +42,8 @@
 /// Peers queried in one isolation check, and the timeout of a query on the platform's network.
 constexpr std::size_t peers_per_check = 2;
 constexpr milliseconds peer_timeout{300};
+/// The owner of scheduling queries all hosts within this many checks.
+constexpr std::size_t checks_per_cycle = 4;
 /// Part of the stop's grace period that is reserved for exiting.
 constexpr milliseconds exit_margin{900};
 
@@ -114,11 +119,21 @@
                !shared_.isolated;
     }
 
+    /// What this host reports to others.
+    [[nodiscard]] peer_report own_report() const
+    {
+        return {
+            shared_.store_unavailable ? peer_store_status::store_unavailable
+                                      : peer_store_status::store_available,
+            std::chrono::duration_cast<milliseconds>(shared_.now() - shared_.store.last_answer()),
+            shared_.owner.row().term};
+    }
+
     boost::asio::awaitable<http::response> handle_readiness_request()
     {
         co_return http::make_response(is_ready() ? http::status::ok
                                                  : http::status::service_unavailable,
-                                      serialize_readiness(!shared_.store_unavailable));
+                                      serialize_readiness(own_report()));
     }
 
     void apply_operator(const std::vector<adapter::row>& rows)
@@ -190,13 +205,67 @@
         co_await follow_table(shared_, std::move(feed));
     }
 
-    /// Queries whether another host reaches the store.
-    boost::asio::awaitable<peer_store_status> query_peer(address where)
+    /// Queries another host about the store.
+    boost::asio::awaitable<peer_report> query_peer(address where)
     {
         const http::exchange_result exchange = co_await shared_.connections.call(
             where, http::make_request(http::method::get, "/", ""), peer_timeout);
-        co_return exchange.answer ? parse_readiness(exchange.answer->body())
-                                  : peer_store_status::no_answer;
+        co_return exchange.answer ? parse_readiness(exchange.answer->body()) : peer_report{};
+    }
+
+    /// Queries several hosts at once; the reports are in the order of `peers`.
+    boost::asio::awaitable<std::vector<peer_report>> query_peers(std::vector<address> peers)
+    {
+        std::vector<peer_report> reports(peers.size());
+        std::size_t open = peers.size();
+        boost::asio::steady_timer finished(io_, std::chrono::steady_clock::time_point::max());
+        for (std::size_t index = 0; index < peers.size(); ++index)
+        {
+            boost::asio::co_spawn(io_, query_peer(peers[index]),
+                                  [&, index](const std::exception_ptr& error, peer_report report)
+                                  {
+                                      reports[index] = error ? peer_report{} : report;
+                                      --open;
+                                      finished.cancel();
+                                  });
+        }
+        while (open > 0)
+        {
+            co_await finished.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+        }
+        co_return reports;
+    }
+
+    /// Asks other hosts about the store. The owner asks each of them at least once a second, so
+    /// that it learns of a takeover by any of them.
+    boost::asio::awaitable<bool> check_isolation(std::size_t round)
+    {
+        const std::vector<address> judges =
+            choose_peers(shared_.hosts, shared_.config.host, shared_.config.availability_zone,
+                         peers_per_check, round);
+        std::vector<address> peers = judges;
+        const std::shared_ptr<owner_session> session = election_.shared_session();
+        if (session)
+        {
+            const std::size_t count = std::max(
+                peers_per_check, (shared_.hosts.size() + checks_per_cycle - 1) / checks_per_cycle);
+            const std::vector<address> others =
+                choose_any_peers(shared_.hosts, shared_.config.host, count, round);
+            peers.insert(peers.end(), others.begin(), others.end());
+        }
+        const steady_time began = shared_.now();
+        const std::vector<peer_report> reports = co_await query_peers(std::move(peers));
+        std::vector<peer_store_status> statuses;
+        for (std::size_t index = 0; index < judges.size(); ++index)
+        {
+            statuses.push_back(reports[index].status);
+        }
+        const bool isolated = is_isolated(statuses);
+        if (session && !session->ended())
+        {
+            session->apply_outage_check(evaluate_outage(began, shared_.now(), isolated, reports));
+        }
+        co_return isolated;
     }
 
     /// During a store outage, checks with other hosts whether this host is isolated. An isolated
@@ -210,14 +279,7 @@
             if (shared_.store_unavailable &&
                 shared_.now() - shared_.store_unavailable_since >= isolation_check_delay)
             {
-                std::vector<peer_store_status> answers;
-                for (const address& peer :
-                     choose_peers(shared_.hosts, shared_.config.host,
-                                  shared_.config.availability_zone, peers_per_check, round))
-                {
-                    answers.push_back(co_await query_peer(peer));
-                }
-                isolated = shared_.store_unavailable && is_isolated(answers);
+                isolated = co_await check_isolation(round) && shared_.store_unavailable;
             }
             if (isolated != shared_.isolated)
             {
--- a/src/manager/feed.cpp
+++ b/src/manager/feed.cpp
@@ -24,12 +24,8 @@
 constexpr std::size_t parallel_reads = 8;
 
 void record_store_call(context& shared, std::string_view table, bool answered,
-                       steady_time requested_at, std::string_view reason)
+                       std::string_view reason)
 {
-    if (!answered)
-    {
-        shared.failed_call_made = std::max(shared.failed_call_made, requested_at);
-    }
     if (answered && shared.store_unavailable)
     {
         shared.store_unavailable = false;
@@ -77,7 +73,7 @@
     {
         adapter::read_result page =
             co_await shared.store.read(reading.table, part, from, read_timeout);
-        record_store_call(shared, reading.table, page.ok, page.requested_at, page.reason);
+        record_store_call(shared, reading.table, page.ok, page.reason);
         if (!page.ok)
         {
             reading.failed = true;
@@ -204,8 +200,7 @@
         {
             co_return;
         }
-        record_store_call(shared, feed.table, changes.ok || changes.history_lost,
-                          changes.requested_at, changes.reason);
+        record_store_call(shared, feed.table, changes.ok || changes.history_lost, changes.reason);
         if (changes.history_lost)
         {
             log_event(log_level::info, "feed_history_lost",
--- a/src/manager/isolation.cpp
+++ b/src/manager/isolation.cpp
@@ -9,6 +9,26 @@
 namespace lacewingquay::manager
 {
 
+namespace
+{
+
+constexpr milliseconds max_reported_silence{std::chrono::hours(1)};
+
+/// Keeps `count` candidates, others in each round.
+void rotate_choice(std::vector<address>& candidates, std::size_t count, std::size_t round)
+{
+    if (candidates.empty())
+    {
+        return;
+    }
+    const std::size_t first = round * count % candidates.size();
+    std::rotate(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(first),
+                candidates.end());
+    candidates.resize(std::min(count, candidates.size()));
+}
+
+} // namespace
+
 std::string serialize_host(const host_record& value)
 {
     return boost::json::serialize(boost::json::object{{"cores", value.resources.cores},
@@ -30,12 +50,15 @@
     return result;
 }
 
-std::string serialize_readiness(bool store_available)
+std::string serialize_readiness(const peer_report& value)
 {
-    return boost::json::serialize(boost::json::object{{"store_answers", store_available}});
+    return boost::json::serialize(
+        boost::json::object{{"store_answers", value.status == peer_store_status::store_available},
+                            {"store_silence_ms", value.silence.count()},
+                            {"owner_term", value.owner_term}});
 }
 
-peer_store_status parse_readiness(std::string_view body)
+peer_report parse_readiness(std::string_view body)
 {
     boost::system::error_code error;
     const boost::json::value parsed = boost::json::parse(body, error);
@@ -46,9 +69,17 @@
     if (available == nullptr)
     {
         // An unknown response format is no evidence about the store.
-        return peer_store_status::no_answer;
+        return {};
     }
-    return *available ? peer_store_status::store_available : peer_store_status::store_unavailable;
+    const auto number = [&](std::string_view key)
+    {
+        const boost::json::value* found = object->if_contains(key);
+        const std::int64_t* value = found == nullptr ? nullptr : found->if_int64();
+        return value == nullptr ? std::int64_t(0) : std::max(*value, std::int64_t(0));
+    };
+    return {*available ? peer_store_status::store_available : peer_store_status::store_unavailable,
+            milliseconds(std::min(number("store_silence_ms"), max_reported_silence.count())),
+            number("owner_term")};
 }
 
 bool is_isolated(std::span<const peer_store_status> statuses)
@@ -62,6 +93,46 @@
     return peer_reaches_store || no_peer_answers;
 }
 
+outage_check evaluate_outage(steady_time began, steady_time ended, bool isolated,
+                             std::span<const peer_report> reports)
+{
+    outage_check result;
+    result.began = began;
+    result.ended = ended;
+    bool peer_reaches_store = false;
+    bool is_confirmed = reports.empty();
+    result.silence = max_reported_silence;
+    for (const peer_report& report : reports)
+    {
+        result.owner_term = std::max(result.owner_term, report.owner_term);
+        peer_reaches_store =
+            peer_reaches_store || report.status == peer_store_status::store_available;
+        if (report.status == peer_store_status::store_unavailable)
+        {
+            is_confirmed = true;
+            result.silence = std::min(result.silence, report.silence);
+        }
+    }
+    result.confirms_outage = is_confirmed && !peer_reaches_store && !isolated;
+    return result;
+}
+
+std::vector<address> choose_any_peers(const std::map<std::string, host_record>& hosts,
+                                      std::string_view own_name, std::size_t count,
+                                      std::size_t round)
+{
+    std::vector<address> candidates;
+    for (const auto& entry : hosts)
+    {
+        if (entry.first != own_name)
+        {
+            candidates.push_back(entry.second.readiness);
+        }
+    }
+    rotate_choice(candidates, count, round);
+    return candidates;
+}
+
 std::vector<address> choose_peers(const std::map<std::string, host_record>& hosts,
                                   std::string_view own_name, std::string_view own_zone,
                                   std::size_t count, std::size_t round)
@@ -77,13 +148,7 @@
         }
     }
     std::vector<address>& candidates = other_zones.empty() ? same_zone : other_zones;
-    if (!candidates.empty())
-    {
-        const std::size_t first = round * count % candidates.size();
-        std::rotate(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(first),
-                    candidates.end());
-        candidates.resize(std::min(count, candidates.size()));
-    }
+    rotate_choice(candidates, count, round);
     return candidates;
 }
 
--- a/src/manager/isolation.hpp
+++ b/src/manager/isolation.hpp
@@ -7,6 +7,7 @@
 #include <boost/leaf.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <span>
 #include <string>
@@ -36,14 +37,51 @@
     store_available
 };
 
-[[nodiscard]] std::string serialize_readiness(bool store_available);
-[[nodiscard]] peer_store_status parse_readiness(std::string_view body);
+/// What an entry host reports of the store and of the owner.
+struct peer_report
+{
+    peer_store_status status = peer_store_status::no_answer;
+    /// Time since the store last answered that host; zero if it does not say.
+    milliseconds silence{0};
+    /// Newest term of ownership that it knows; zero if it does not say.
+    std::int64_t owner_term = 0;
+
+    friend bool operator==(const peer_report&, const peer_report&) = default;
+};
+
+[[nodiscard]] std::string serialize_readiness(const peer_report& value);
+[[nodiscard]] peer_report parse_readiness(std::string_view body);
 
 /// True if a host that has lost the store is itself isolated and callers are better served by other
 /// hosts: another host reaches the store, or none of the queried hosts answers. If the others have
 /// lost the store too, the store is down and routing callers elsewhere would not help.
 [[nodiscard]] bool is_isolated(std::span<const peer_store_status> statuses);
 
+/// Result of asking other hosts about the store while it does not answer this host.
+struct outage_check
+{
+    /// When the first host was asked, and when the last answer was read.
+    steady_time began{};
+    steady_time ended{};
+    /// The store answers none of the hosts asked, as far as they answered, and they are enough to
+    /// tell an outage of the store from an isolation of this host.
+    bool confirms_outage = false;
+    /// Least time for which the store has answered none of those hosts.
+    milliseconds silence{0};
+    /// Newest term of ownership that one of them knows.
+    std::int64_t owner_term = 0;
+};
+
+/// `isolated` is whether this host counts as isolated by `is_isolated`. Without other hosts, an
+/// outage is confirmed, as no host can take over.
+[[nodiscard]] outage_check evaluate_outage(steady_time began, steady_time ended, bool isolated,
+                                           std::span<const peer_report> reports);
+
+/// Chooses up to `count` of all other hosts. `round` rotates the choice between calls.
+[[nodiscard]] std::vector<address> choose_any_peers(const std::map<std::string, host_record>& hosts,
+                                                    std::string_view own_name, std::size_t count,
+                                                    std::size_t round);
+
 /// Chooses up to `count` hosts to query. Hosts of other availability zones are preferred, as a
 /// network failure usually isolates a whole zone. `round` rotates the choice between calls.
 [[nodiscard]] std::vector<address> choose_peers(const std::map<std::string, host_record>& hosts,
--- a/src/manager/order_permission.hpp
+++ b/src/manager/order_permission.hpp
@@ -11,12 +11,10 @@
     /// Time since the latest call was made by which the store confirmed the ownership; suspended
     /// time counts. Not since the answer was read: it may have waited there for long.
     milliseconds confirmed_age{0};
-    /// The store does not answer this host.
-    bool store_unavailable = false;
-    /// Other hosts may still reach the store, so one of them may take over.
-    bool isolated = false;
-    /// Time since the latest call to the store that failed was made.
-    milliseconds outage_age{0};
+    /// Time since it was last certain that no other host could have taken over: at the latest call
+    /// that confirmed the ownership or, in an outage of the whole store, at the latest check of
+    /// other hosts. See `sole_ownership`.
+    milliseconds unchallenged_age{0};
     /// Age of what this host has read of callers' jobs. Later cancellations are not known yet.
     milliseconds jobs_age{0};
 };
@@ -30,12 +28,9 @@
     /// Starts: servers fence them, but only once they have heard of a new owner, which takes over
     /// 2.1 s after the last renewal.
     milliseconds start_age{2'000};
-    /// Leases, while another host may take over. A new owner assumes that they are not extended for
-    /// longer than `scheduler::settings::takeover_slack`.
+    /// Leases. A new owner assumes that they are not extended for longer than
+    /// `scheduler::settings::takeover_slack` after its takeover.
     milliseconds lease_age{2'500};
-    /// A failed call shows that the store is unavailable for this long: longer than the calls of an
-    /// outage are apart, and shorter than a takeover plus the time above.
-    milliseconds outage_age{3'000};
     /// Starts: a task must not start long after its job was cancelled. Longer than it takes to
     /// repeat a poll for new jobs whose answer was lost.
     milliseconds jobs_age{2'000};
@@ -62,14 +57,11 @@
     return evidence.confirmed_age < values.start_age && knows_cancelled_jobs(evidence, values);
 }
 
-/// True if leases may be extended now. During an outage of the whole store no host can take over,
-/// so runs go on.
+/// True if leases may be extended now.
 [[nodiscard]] constexpr bool may_extend_leases(const ownership_evidence& evidence,
                                                const permission_settings& values = {})
 {
-    return evidence.confirmed_age < values.lease_age ||
-           (evidence.store_unavailable && !evidence.isolated &&
-            evidence.outage_age < values.outage_age);
+    return evidence.unchallenged_age < values.lease_age;
 }
 
 } // namespace lacewingquay::manager
--- a/src/manager/owner_election.cpp
+++ b/src/manager/owner_election.cpp
@@ -69,6 +69,10 @@
     {
         shared_.owner.observe(*owner, row.version, shared_.store_time() - owner->renewed,
                               shared_.now());
+        if (session_)
+        {
+            session_->observe_term(owner->term);
+        }
     }
 }
 
--- a/src/manager/owner_election.hpp
+++ b/src/manager/owner_election.hpp
@@ -38,6 +38,9 @@
     /// The session if this host is the owner, else null.
     [[nodiscard]] owner_session* session() const { return session_.get(); }
 
+    /// As above, for callers that suspend.
+    [[nodiscard]] std::shared_ptr<owner_session> shared_session() const { return session_; }
+
 private:
     void apply_owner(const adapter::row& row);
     void apply_rows(const std::vector<adapter::row>& rows);
--- a/src/manager/owner_session.cpp
+++ b/src/manager/owner_session.cpp
@@ -54,6 +54,7 @@
                              steady_time confirmed_at)
     : shared_(shared), scheduler_(scheduler_settings(shared.config)), term_(term),
       owner_version_(owner_version), last_renewal_(confirmed_at), confirmed_at_(confirmed_at),
+      sole_ownership_(confirmed_at, least_takeover_time(ownership_settings{})),
       wake_timer_(shared.io.get_executor()), stop_timer_(shared.io.get_executor()),
       progress_rows_(max_progress_rows), starts_(window_for(shared.config.resources))
 {
@@ -84,6 +85,26 @@
     }
 }
 
+void owner_session::observe_term(std::int64_t newest)
+{
+    if (newest > term_)
+    {
+        end("another host has taken over");
+    }
+}
+
+void owner_session::apply_outage_check(const outage_check& check)
+{
+    observe_term(check.owner_term);
+    sole_ownership_.apply(check);
+}
+
+void owner_session::confirm_ownership(steady_time requested_at)
+{
+    confirmed_at_ = requested_at;
+    sole_ownership_.confirm(requested_at);
+}
+
 void owner_session::configure()
 {
     if (shared_.current)
@@ -391,7 +412,7 @@
     if (result.outcome == commit_outcome::done)
     {
         commit_in_doubt_ = false;
-        confirmed_at_ = result.requested_at;
+        confirm_ownership(result.requested_at);
         shared_.update_store_time(result.store_time, result.requested_at);
         if (renewed)
         {
--- a/src/manager/owner_session.hpp
+++ b/src/manager/owner_session.hpp
@@ -4,6 +4,7 @@
 #include "manager/feed.hpp"
 #include "manager/order_permission.hpp"
 #include "manager/send_window.hpp"
+#include "manager/sole_ownership.hpp"
 #include "platform/store.hpp"
 #include "scheduler/scheduler.hpp"
 
@@ -56,6 +57,13 @@
     /// Gives up ownership: the next commit also marks the owner's row as released.
     void release(std::string_view reason);
 
+    /// Takes the term of the owner's row as read from the store or named by another host; a later
+    /// one ends this session.
+    void observe_term(std::int64_t newest);
+
+    /// Takes the result of asking other hosts about the store while it does not answer this one.
+    void apply_outage_check(const outage_check& check);
+
     /// True once ownership was lost or released.
     [[nodiscard]] bool ended() const { return ended_; }
 
@@ -74,8 +82,7 @@
     {
         const steady_time now = shared_.now();
         return {std::chrono::duration_cast<milliseconds>(now - confirmed_at_),
-                shared_.store_unavailable, shared_.isolated,
-                std::chrono::duration_cast<milliseconds>(now - shared_.failed_call_made),
+                std::chrono::duration_cast<milliseconds>(now - sole_ownership_.certain_until()),
                 jobs_age()};
     }
 
@@ -119,6 +126,8 @@
     void send_stops();
     /// False while this host may not know which jobs are cancelled.
     [[nodiscard]] bool may_plan_starts();
+    /// False while another host may have taken over.
+    [[nodiscard]] bool may_renew_leases();
     void apply_servers(const std::vector<adapter::row>& rows, bool is_snapshot);
     void apply_jobs(const std::vector<adapter::row>& rows);
     void apply_job(const adapter::row& row);
@@ -146,6 +155,8 @@
     /// Handles a commit whose condition on the owner's row did not hold.
     void apply_conflict(const adapter::commit_result& result);
     void end(std::string_view reason);
+    /// Notes that the store has confirmed the ownership when asked at `requested_at`.
+    void confirm_ownership(steady_time requested_at);
     void wake_server(const std::string& id);
 
     context& shared_;
@@ -172,6 +183,7 @@
     steady_time last_renewal_{};
     /// When the latest transaction that confirmed the ownership was requested.
     steady_time confirmed_at_{};
+    sole_ownership sole_ownership_;
     boost::asio::steady_timer wake_timer_;
     /// Of the stop loop.
     boost::asio::steady_timer stop_timer_;
@@ -189,6 +201,8 @@
     send_window starts_;
     /// No starts are planned, as what this host has read of callers' jobs is too old.
     bool starts_held_ = false;
+    /// No leases are renewed, as another host may have taken over.
+    bool leases_held_ = false;
     /// More start orders may be waiting for `starts_` to permit them.
     bool starts_exhausted_ = false;
     session_counters counters_;
--- a/src/manager/owner_session_load.cpp
+++ b/src/manager/owner_session_load.cpp
@@ -80,7 +80,7 @@
             shared_.update_store_time(result.store_time, result.requested_at);
             owner_version_ = std::max(owner_version_, result.version);
             last_renewal_ = result.requested_at;
-            confirmed_at_ = result.requested_at;
+            confirm_ownership(result.requested_at);
             if (is_release)
             {
                 end("released");
--- a/src/manager/owner_session_orders.cpp
+++ b/src/manager/owner_session_orders.cpp
@@ -202,6 +202,21 @@
     wake_server(order.server);
 }
 
+bool owner_session::may_renew_leases()
+{
+    const ownership_evidence known = evidence();
+    const bool held = !may_extend_leases(known);
+    if (held != leases_held_)
+    {
+        leases_held_ = held;
+        log_event(log_level::warning, held ? "leases_held" : "leases_resumed",
+                  {{"term", term_},
+                   {"confirmed_age_ms", known.confirmed_age.count()},
+                   {"unchallenged_age_ms", known.unchallenged_age.count()}});
+    }
+    return !held;
+}
+
 boost::asio::awaitable<void> owner_session::poll_server(std::string id)
 {
     const std::shared_ptr<owner_session> self = shared_from_this();
@@ -237,7 +252,7 @@
         call.fencing_token = term_;
         call.acknowledged_ends = server->ends_stored;
         const steady_time requested_at = shared_.now();
-        call.deadline = server->tasks.empty() || !may_extend_leases(evidence())
+        call.deadline = server->tasks.empty() || !may_renew_leases()
                             ? milliseconds(0)
                             : scheduler_.grant_lease(*server, requested_at);
         const bool has_runs = !server->tasks.empty() || server->unexpected_runs > 0;
--- a/src/manager/ownership.hpp
+++ b/src/manager/ownership.hpp
@@ -78,6 +78,13 @@
     milliseconds handover_retry{3'000};
 };
 
+/// Least time from a call that confirms the ownership to a takeover by another host. The owner's
+/// row is renewed at the interval, not with each such call.
+[[nodiscard]] constexpr milliseconds least_takeover_time(const ownership_settings& values)
+{
+    return values.failure_timeout - values.renewal;
+}
+
 /// Decides when this host may try to become the owner, and when a weak owner hands over to a
 /// stronger host that has returned. The attempt itself is a transaction that is conditional on the
 /// version of the owner's row that this host has seen.
--- a/tests/manager/manager_test.cpp
+++ b/tests/manager/manager_test.cpp
@@ -343,10 +343,15 @@
     CHECK_FALSE(is_isolated(std::vector{store_unavailable, store_unavailable}));
     CHECK_FALSE(is_isolated(std::vector{store_unavailable, no_answer}));
     CHECK_FALSE(is_isolated(std::vector<peer_store_status>{}));
-    CHECK(parse_readiness(serialize_readiness(true)) == store_available);
-    CHECK(parse_readiness(serialize_readiness(false)) == store_unavailable);
-    CHECK(parse_readiness("not JSON") == no_answer);
-    CHECK(parse_readiness(R"({"store_answers":1})") == no_answer);
+    for (const peer_report& report : {peer_report{store_available, milliseconds(20), 7},
+                                      peer_report{store_unavailable, milliseconds(900), 8}})
+    {
+        CHECK(parse_readiness(serialize_readiness(report)) == report);
+    }
+    CHECK(parse_readiness("not JSON") == peer_report{});
+    CHECK(parse_readiness(R"({"store_answers":1})") == peer_report{});
+    CHECK(parse_readiness(R"({"store_answers":false,"owner_term":-1,"store_silence_ms":"x"})") ==
+          peer_report{store_unavailable, milliseconds(0), 0});
 }
 
 TEST_CASE("a host queries hosts of other availability zones, and different ones in each round",
--- a/tests/manager/owner_session_test.cpp
+++ b/tests/manager/owner_session_test.cpp
@@ -30,6 +30,10 @@
     {
         const std::string target(received.target());
         const bool is_commit = target.find("rows-tx") != std::string::npos;
+        if (is_commit ? refuses_commits : refuses_reads)
+        {
+            co_return http::make_response(http::status::service_unavailable, "{}");
+        }
         commits_started += is_commit ? 1 : 0;
         if (is_commit)
         {
@@ -67,6 +71,8 @@
     };
     milliseconds commit_time{0};
     milliseconds read_time{0};
+    bool refuses_commits = false;
+    bool refuses_reads = false;
     std::int64_t version = 10;
     int commits_started = 0;
     /// Values of the owner's row, in the order in which they were written.
@@ -192,3 +198,44 @@
                              owner.shared->now() - milliseconds(5'000));
     CHECK_FALSE(late.may_order_machines());
 }
+
+TEST_CASE("an owner that loses the store a second time extends no lease without a confirmation",
+          "[manager]")
+{
+    // Guards against a former owner in a zone that is cut off, back for a moment, and cut off
+    // again: it kept runs alive that its successor had started elsewhere.
+    slow_store store;
+    new_owner owner(store);
+    owner.run_until([&] { return owner.session->is_loaded(); });
+    store.refuses_commits = true;
+    const auto age = [&]
+    {
+        return owner.session->evidence().confirmed_age;
+    };
+    owner.run_until([&] { return age() > permission_settings{}.lease_age; });
+    store.refuses_reads = true;
+    owner.run_until([&] { return owner.shared->store_unavailable; });
+    CHECK_FALSE(may_extend_leases(owner.session->evidence()));
+    store.refuses_commits = false;
+    owner.run_until([&] { return age() < milliseconds(500); });
+    CHECK(may_extend_leases(owner.session->evidence()));
+}
+
+TEST_CASE("an owner that learns of a later term ends its own", "[manager]")
+{
+    slow_store store;
+    new_owner owner(store);
+    owner.session->observe_term(owner.session->term());
+    CHECK_FALSE(owner.session->ended());
+    SECTION("from the store")
+    {
+        owner.session->observe_term(owner.session->term() + 1);
+    }
+    SECTION("from another host")
+    {
+        outage_check check;
+        check.owner_term = owner.session->term() + 1;
+        owner.session->apply_outage_check(check);
+    }
+    CHECK(owner.session->ended());
+}
