Bind leases to the incarnation of a server that they are meant for

Cause: a deadline is a time on the clock of one incarnation of a server. A restarted server takes calls that were meant for its former incarnation, and its clock begins anew, so such a deadline is minutes ahead: it grants its longest lease, 10 s, while the owner counts 6.42 s.

Why it works: calls with a deadline, or that acknowledge ends by number, are sent only on an open connection on which the incarnation has reported. Its process has ended if the connection has. A new connection begins with a request for a report without a deadline; another incarnation is then known before anything is sent to it. So no owner, present or former, sends it a deadline of the former clock. Where one may arrive in another way, the server counts as holding its longest lease: from its first report or registration, or from an answer whose clock is behind.

The simulation gives each incarnation a clock of its own, and detects the variant in which calls reach a later incarnation.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -105,6 +105,7 @@
     // closed.
     stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
     open_ = true;
+    ++connects_;
     co_return true;
 }
 
@@ -138,6 +139,12 @@
         refuse_late_start(result);
         co_return result;
     }
+    if (!open_ && !limits.may_connect)
+    {
+        result.failure = exchange_failure::connect;
+        result.reason = "the connection has been closed";
+        co_return result;
+    }
     if (!open_ && !co_await connect(std::min(limits.start_by, limits.deadline), result))
     {
         co_return result;
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -26,6 +26,8 @@
     /// Checked immediately before the first byte is written; if it returns false, the request is
     /// not run. Empty means that the request is always permitted.
     std::function<bool()> may_start;
+    /// False to use the connection only as long as it is open; it is not made anew.
+    bool may_connect = true;
     /// The whole answer is read before this.
     std::chrono::steady_clock::time_point deadline = std::chrono::steady_clock::time_point::max();
     /// An answer that arrives in parts is read beyond `deadline` as long as no part of it is later
@@ -66,6 +68,8 @@
     std::optional<response> answer;
     /// What went wrong, for logs; empty on success.
     std::string reason;
+    /// Number of the connection among those of its pool; zero if it was not pooled.
+    std::uint64_t connection = 0;
 };
 
 /// One HTTP/1.1 connection to a server, with one exchange at a time. After any failure, an answer
@@ -95,6 +99,9 @@
     /// True if the connection can be used for another exchange.
     [[nodiscard]] bool is_open() const { return open_; }
 
+    /// How often it has been connected.
+    [[nodiscard]] std::uint64_t connects() const { return connects_; }
+
     /// Closes the connection; an exchange in progress fails.
     void close();
 
@@ -117,6 +124,7 @@
     boost::beast::tcp_stream stream_;
     boost::beast::flat_buffer buffer_;
     bool open_ = false;
+    std::uint64_t connects_ = 0;
 };
 
 } // namespace lacewingquay::http
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -1,5 +1,7 @@
 #include "http/connection_pool.hpp"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace lacewingquay::http
@@ -10,40 +12,60 @@
 {
 }
 
-std::unique_ptr<client_connection> connection_pool::take(const address& server)
+std::optional<connection_pool::pooled_connection> connection_pool::take_idle(const address& server,
+                                                                             std::int64_t peer)
 {
     const auto found = idle_.find(server.text());
-    if (found != idle_.end())
+    if (found == idle_.end())
     {
-        const std::chrono::steady_clock::time_point oldest =
-            std::chrono::steady_clock::now() - settings_.idle_limit;
-        std::deque<idle_connection>& list = found->second;
-        while (!list.empty() && list.front().since < oldest)
-        {
-            list.pop_front();
-        }
-        if (!list.empty())
-        {
-            std::unique_ptr<client_connection> connection = std::move(list.back().connection);
-            list.pop_back();
-            return connection;
-        }
+        return std::nullopt;
+    }
+    const std::chrono::steady_clock::time_point oldest =
+        std::chrono::steady_clock::now() - settings_.idle_limit;
+    std::deque<pooled_connection>& list = found->second;
+    while (!list.empty() && list.front().idle_since < oldest)
+    {
+        list.pop_front();
+    }
+    const auto latest = std::find_if(list.rbegin(), list.rend(),
+                                     [&](const pooled_connection& entry)
+                                     { return peer == 0 || entry.peer == peer; });
+    if (latest == list.rend())
+    {
+        return std::nullopt;
     }
-    ++opened_;
-    return std::make_unique<client_connection>(executor_, server);
+    pooled_connection entry = std::move(*latest);
+    list.erase(std::prev(latest.base()));
+    return entry;
 }
 
-void connection_pool::give_back(const std::string& key,
-                                std::unique_ptr<client_connection> connection)
+void connection_pool::give_back(pooled_connection entry)
 {
-    std::deque<idle_connection>& list = idle_[key];
-    list.push_back({std::move(connection), std::chrono::steady_clock::now()});
+    std::deque<pooled_connection>& list = idle_[entry.connection->server().text()];
+    entry.idle_since = std::chrono::steady_clock::now();
+    list.push_back(std::move(entry));
     if (list.size() > settings_.max_idle)
     {
         list.pop_front();
     }
 }
 
+void connection_pool::identify(const address& server, std::uint64_t connection, std::int64_t peer)
+{
+    const auto found = idle_.find(server.text());
+    if (found == idle_.end())
+    {
+        return;
+    }
+    for (pooled_connection& entry : found->second)
+    {
+        if (entry.number == connection)
+        {
+            entry.peer = peer;
+        }
+    }
+}
+
 boost::asio::awaitable<exchange_result>
 connection_pool::call(const address& server, request message, std::chrono::milliseconds timeout)
 {
@@ -64,11 +86,46 @@
 boost::asio::awaitable<exchange_result>
 connection_pool::call(const address& server, request message, exchange_limits limits)
 {
-    std::unique_ptr<client_connection> connection = take(server);
-    exchange_result result = co_await connection->exchange(std::move(message), std::move(limits));
-    if (connection->is_open())
+    std::optional<pooled_connection> entry = take_idle(server, 0);
+    if (!entry)
+    {
+        entry.emplace();
+        entry->connection = std::make_unique<client_connection>(executor_, server);
+        entry->number = ++opened_;
+    }
+    co_return co_await exchange(std::move(*entry), std::move(message), std::move(limits));
+}
+
+boost::asio::awaitable<std::optional<exchange_result>>
+connection_pool::call_peer(const address& server, std::int64_t peer, request message,
+                           exchange_limits limits)
+{
+    limits.may_connect = false;
+    while (std::optional<pooled_connection> entry = take_idle(server, peer))
+    {
+        exchange_result result = co_await exchange(std::move(*entry), message, limits);
+        if (result.failure != exchange_failure::connect)
+        {
+            co_return result;
+        }
+    }
+    co_return std::nullopt;
+}
+
+boost::asio::awaitable<exchange_result>
+connection_pool::exchange(pooled_connection entry, request message, exchange_limits limits)
+{
+    const std::uint64_t connects = entry.connection->connects();
+    exchange_result result =
+        co_await entry.connection->exchange(std::move(message), std::move(limits));
+    result.connection = entry.number;
+    if (entry.connection->connects() != connects)
+    {
+        entry.peer = 0;
+    }
+    if (entry.connection->is_open())
     {
-        give_back(server.text(), std::move(connection));
+        give_back(std::move(entry));
     }
     co_return result;
 }
--- a/src/http/connection_pool.hpp
+++ b/src/http/connection_pool.hpp
@@ -8,10 +8,12 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace lacewingquay::http
@@ -47,22 +49,37 @@
     boost::asio::awaitable<exchange_result> call(const address& server, request message,
                                                  exchange_limits limits);
 
+    /// As above, only on an open connection that `identify` has assigned to `peer`, so that no
+    /// later process at the same address receives the message; nothing if there is none.
+    boost::asio::awaitable<std::optional<exchange_result>>
+    call_peer(const address& server, std::int64_t peer, request message, exchange_limits limits);
+
+    /// Notes which process answers on a connection, by the number in its latest result. `peer` is
+    /// any number but zero. The note ends with the connection.
+    void identify(const address& server, std::uint64_t connection, std::int64_t peer);
+
     /// Connections opened so far.
     [[nodiscard]] std::uint64_t opened() const { return opened_; }
 
 private:
-    struct idle_connection
+    struct pooled_connection
     {
         std::unique_ptr<client_connection> connection;
-        std::chrono::steady_clock::time_point since;
+        std::uint64_t number = 0;
+        /// Who answers on it; zero if that is not known.
+        std::int64_t peer = 0;
+        std::chrono::steady_clock::time_point idle_since{};
     };
 
-    std::unique_ptr<client_connection> take(const address& server);
-    void give_back(const std::string& key, std::unique_ptr<client_connection> connection);
+    /// An idle connection, of `peer` if that is not zero; nothing if there is none.
+    std::optional<pooled_connection> take_idle(const address& server, std::int64_t peer);
+    boost::asio::awaitable<exchange_result> exchange(pooled_connection entry, request message,
+                                                     exchange_limits limits);
+    void give_back(pooled_connection entry);
 
     boost::asio::any_io_executor executor_;
     pool_settings settings_;
-    std::map<std::string, std::deque<idle_connection>> idle_;
+    std::map<std::string, std::deque<pooled_connection>> idle_;
     std::uint64_t opened_ = 0;
 };
 
--- a/src/manager/owner_session.cpp
+++ b/src/manager/owner_session.cpp
@@ -44,6 +44,7 @@
 {
     scheduler::settings result;
     result.lease = std::min(result.lease, values.max_lease);
+    result.max_lease = values.max_lease;
     result.max_row_bytes = std::min(values.max_row_bytes, result.max_batch_bytes);
     return result;
 }
--- a/src/manager/owner_session.hpp
+++ b/src/manager/owner_session.hpp
@@ -115,6 +115,10 @@
                                                  std::vector<std::string>& expired);
     boost::asio::awaitable<void> poll_server(std::string id);
     boost::asio::awaitable<void> send_starts(std::vector<worker::start_order> orders);
+    /// Applies the report of an incarnation that is not known yet.
+    void apply_identification(const std::string& server,
+                              const std::optional<worker::report>& identification,
+                              steady_time requested_at);
     /// Handles the end of a start order that was answered or given up after `delay`; without a
     /// value, it was not sent.
     void finish_start(std::optional<milliseconds> delay);
--- a/src/manager/owner_session_orders.cpp
+++ b/src/manager/owner_session_orders.cpp
@@ -111,6 +111,9 @@
                 co_await shared_.workers.start(order, deadline, term_, starts_.timeout(), may_send);
             delay = std::chrono::duration_cast<milliseconds>(shared_.now() - sent_at);
             outcome = result.outcome;
+            apply_identification(order.server, result.identification, sent_at);
+            scheduler_.observe_clock(order.server, order.server_born, result.clock, sent_at,
+                                     shared_.now());
             if (failure == worker::call_failure::none)
             {
                 failure = result.failure;
@@ -161,6 +164,17 @@
     }
 }
 
+void owner_session::apply_identification(const std::string& server,
+                                         const std::optional<worker::report>& identification,
+                                         steady_time requested_at)
+{
+    const scheduler::server_state* known = scheduler_.find_server(server);
+    if (!ended_ && identification && known != nullptr && identification->born > known->info.born)
+    {
+        scheduler_.apply_report(server, *identification, requested_at, shared_.now());
+    }
+}
+
 void owner_session::finish_start(std::optional<milliseconds> delay)
 {
     if (delay)
@@ -186,12 +200,14 @@
     {
         return !ended_ && scheduler_.is_stop_due(order);
     };
+    const steady_time sent_at = shared_.now();
     const adapter::order_result result = co_await shared_.workers.stop(
         order, term_, std::min(starts_.timeout(), max_stop_time), may_send);
     if (ended_)
     {
         co_return;
     }
+    scheduler_.observe_clock(order.server, order.server_born, result.clock, sent_at, shared_.now());
     if (result.outcome == worker::order_outcome::fenced)
     {
         end("a server has seen a higher fencing token");
@@ -249,6 +265,7 @@
         adapter::hold_call call;
         call.server = id;
         call.where = server->info.endpoint;
+        call.server_born = server->info.born;
         call.fencing_token = term_;
         call.acknowledged_ends = server->ends_stored;
         const steady_time requested_at = shared_.now();
@@ -270,7 +287,7 @@
         if (result.outcome == order_outcome::accepted)
         {
             scheduler_.apply_report(id, *result.report, requested_at, shared_.now());
-            acknowledged = call.acknowledged_ends;
+            acknowledged = result.is_identification ? acknowledged : call.acknowledged_ends;
             if (!result.report->ended.empty())
             {
                 wake_timer_.cancel();
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -183,10 +183,7 @@
         {
             server.info.machine = saved.machine;
         }
-        const steady_time lease_end =
-            now + settings_.takeover_slack + settings_.lease_slack +
-            milliseconds(static_cast<std::int64_t>(static_cast<double>(settings_.lease.count()) *
-                                                   (1.0 + settings_.clock_drift)));
+        const steady_time lease_end = now + settings_.takeover_slack + lease_bound(settings_.lease);
         server.lease_end = std::max(server.lease_end, lease_end);
         // If the server has restarted, the run ended with the earlier incarnation. But the former
         // owner's start order may still reach the new one until that has answered this owner.
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -165,6 +165,12 @@
     /// can be granted.
     milliseconds grant_lease(server_state& server, steady_time now);
 
+    /// Takes the clock from an answer of the server that does not name its incarnation, to a call
+    /// that was sent at `sent_at` to the one that started at `born`. Zero is ignored. A clock that
+    /// is behind is that of a later incarnation, which may hold its longest lease.
+    void observe_clock(std::string_view id, std::int64_t born, milliseconds clock,
+                       steady_time sent_at, steady_time now);
+
     /// Load of each pool, by its name.
     [[nodiscard]] std::map<std::string, pool_load> pool_loads() const;
 
@@ -235,6 +241,12 @@
     /// Handles a new incarnation under the server's id, whichever is read first: its registration
     /// or its report.
     void begin_incarnation(server_state& server, std::int64_t born, steady_time now);
+    /// Assumes that the server holds its longest lease from now on.
+    void assume_longest_lease(server_state& server, steady_time now);
+    /// By how much a slow clock may have fallen behind the offset that was measured.
+    [[nodiscard]] milliseconds max_clock_lag(const server_state& server, steady_time now) const;
+    /// Time after which a lease has surely expired, on this host's clock.
+    [[nodiscard]] milliseconds lease_bound(milliseconds lease) const;
     void end_earlier_incarnations(const worker::server& info, steady_time now);
     [[nodiscard]] bool has_later_incarnation(const worker::server& info) const;
     /// Handles a server that has restarted under the same id. Its runs have ended, but a start
--- a/src/scheduler/scheduler_servers.cpp
+++ b/src/scheduler/scheduler_servers.cpp
@@ -29,6 +29,11 @@
 {
     confirm_crashes(server.info);
     fence_runs(server, now);
+    if (server.lease_end > now)
+    {
+        // A call that was meant for the former incarnation may have reached this one.
+        assume_longest_lease(server, now);
+    }
     server.info.born = born;
     server.incarnation_ended = false;
     server.ends_read = 0;
@@ -223,15 +228,52 @@
     {
         return milliseconds(0);
     }
-    const milliseconds max_duration(static_cast<std::int64_t>(
-        static_cast<double>(settings_.lease.count()) * (1.0 + settings_.clock_drift)));
-    server.lease_end = std::max(server.lease_end, now + max_duration + settings_.lease_slack);
-    // A slow clock has fallen behind the offset since that was measured.
-    const milliseconds max_lag(static_cast<std::int64_t>(
+    server.lease_end = std::max(server.lease_end, now + lease_bound(settings_.lease));
+    return std::chrono::duration_cast<milliseconds>(now.time_since_epoch()) + server.clock_offset -
+           max_clock_lag(server, now) + settings_.lease;
+}
+
+milliseconds scheduler::lease_bound(milliseconds lease) const
+{
+    const milliseconds on_slow_clock(static_cast<std::int64_t>(static_cast<double>(lease.count()) *
+                                                               (1.0 + settings_.clock_drift)));
+    return on_slow_clock + settings_.lease_slack;
+}
+
+milliseconds scheduler::max_clock_lag(const server_state& server, steady_time now) const
+{
+    return milliseconds(static_cast<std::int64_t>(
         std::chrono::duration<double, std::milli>(now - server.clock_read).count() *
         settings_.clock_drift));
-    return std::chrono::duration_cast<milliseconds>(now.time_since_epoch()) + server.clock_offset -
-           max_lag + settings_.lease;
+}
+
+void scheduler::assume_longest_lease(server_state& server, steady_time now)
+{
+    server.lease_end = std::max(server.lease_end, now + lease_bound(settings_.max_lease));
+}
+
+void scheduler::observe_clock(std::string_view id, std::int64_t born, milliseconds clock,
+                              steady_time sent_at, steady_time now)
+{
+    server_state* server = find_server(id);
+    if (server == nullptr || server->info.born != born || !server->clock_known ||
+        clock.count() == 0)
+    {
+        return;
+    }
+    const milliseconds earliest =
+        std::chrono::duration_cast<milliseconds>(sent_at.time_since_epoch()) +
+        server->clock_offset - max_clock_lag(*server, now) - settings_.clock_margin;
+    if (clock < earliest)
+    {
+        log_event(log_level::warning, "server_clock_behind",
+                  {{"server", id},
+                   {"clock_ms", clock.count()},
+                   {"expected_ms", earliest.count()},
+                   {"lease_left_ms",
+                    std::chrono::duration_cast<milliseconds>(server->lease_end - now).count()}});
+        assume_longest_lease(*server, now);
+    }
 }
 
 void scheduler::check_run_progress(const task_ref& ref, int percent, steady_time now)
--- a/src/scheduler/settings.hpp
+++ b/src/scheduler/settings.hpp
@@ -15,6 +15,8 @@
     /// Lease of the runs on a backend server. Longer than a takeover (about 3.5 s), so that runs
     /// survive one; otherwise short, as runs on a lost server are repeated only after it expires.
     milliseconds lease{6'000};
+    /// Longest lease that a backend server grants. It takes a deadline further ahead for this.
+    milliseconds max_lease{10'000};
     /// Greatest relative slowness of the backend servers' clocks.
     double clock_drift = 0.02;
     /// Network delay and timer slack beyond a lease.
--- a/tests/scheduler/scheduler_simulation.cpp
+++ b/tests/scheduler/scheduler_simulation.cpp
@@ -21,6 +21,11 @@
 constexpr milliseconds partition_time{4'000};
 /// A registration outlives its server by three heartbeats.
 constexpr milliseconds registration_time{4'500};
+/// Longest lease that a server grants.
+constexpr milliseconds max_lease{10'000};
+/// Clocks of the servers that are up at first, and of an incarnation that starts.
+constexpr milliseconds first_clock{600'000};
+constexpr milliseconds restarted_clock{5'000};
 
 } // namespace
 
@@ -78,6 +83,7 @@
         server.info.endpoint = {"10.0.0.1", static_cast<std::uint16_t>(1000 + servers_.size())};
         server.info.capacity = capacity;
         server.info.born = 1;
+        server.clock_start = now_ - first_clock;
         server.registration = server.info;
         server.registered_until = now_ + registration_time;
         servers_[server.info.id] = std::move(server);
@@ -123,6 +129,8 @@
     ++term_;
     scheduler::settings settings;
     settings.tasks_per_row = tasks_per_row;
+    settings.max_lease =
+        bug_ == injected_bug::calls_reach_later_incarnation ? settings.lease : max_lease;
     if (bug_ == injected_bug::takeover_without_waiting)
     {
         settings.takeover_slack = -2 * settings.lease;
@@ -243,7 +251,7 @@
 }
 
 worker::order_outcome scheduler_simulation::start(const worker::start_order& order,
-                                                  std::int64_t token, steady_time deadline)
+                                                  std::int64_t token, milliseconds deadline)
 {
     using worker::order_outcome;
     fake_server& server = servers_[order.server];
@@ -271,11 +279,11 @@
     {
         return order_outcome::stale_run;
     }
-    if (deadline <= now_)
+    if (deadline <= clock_of(server))
     {
         return order_outcome::too_late;
     }
-    server.lease_end = std::max(server.lease_end, deadline);
+    extend_lease(server, deadline);
     const job::resources used = used_by(server);
     const job::step& step =
         jobs_.at(order.task.job).work.steps[static_cast<std::size_t>(order.task.position.step)];
@@ -300,6 +308,30 @@
     return order_outcome::accepted;
 }
 
+milliseconds scheduler_simulation::clock_of(const fake_server& server) const
+{
+    return std::chrono::duration_cast<milliseconds>(now_ - server.clock_start);
+}
+
+void scheduler_simulation::extend_lease(fake_server& server, milliseconds deadline) const
+{
+    const milliseconds time = std::min(deadline - clock_of(server), max_lease);
+    server.lease_end = std::max(server.lease_end, now_ + time);
+}
+
+worker::report scheduler_simulation::make_report(const fake_server& server) const
+{
+    worker::report report;
+    report.born = server.info.born;
+    report.clock = clock_of(server);
+    for (const auto& running : server.running)
+    {
+        report.running.push_back({running.first, running.second.run, "", 100, 0});
+    }
+    report.ended = server.ended;
+    return report;
+}
+
 worker::order_outcome scheduler_simulation::stop(const worker::stop_order& order,
                                                  std::int64_t token)
 {
@@ -475,6 +507,7 @@
         next.info.born += 1'000;
         next.registration = {};
         next.register_at = now_ + milliseconds(50 * (random_() % 20));
+        next.clock_start = now_ - restarted_clock;
         started.push_back(std::move(next));
     }
     for (fake_server& server : started)
@@ -543,6 +576,8 @@
         {
             server.up = true;
             server.info.born += 1'000;
+            server.clock_start = now_ - restarted_clock;
+            server.lease_end = {};
             server.highest_token = 0;
             server.ends = 0;
             server.closed_runs.clear();
@@ -558,6 +593,7 @@
         if (server.registration.born != server.info.born && server.register_at <= now_ &&
             !is_store_away())
         {
+            server.info.clock = clock_of(server);
             server.registration = server.info;
             if (owner_)
             {
@@ -621,6 +657,20 @@
     }
 }
 
+bool scheduler_simulation::reaches_other_incarnation(const worker::start_order& order)
+{
+    fake_server& server = servers_.at(order.server);
+    if (bug_ == injected_bug::calls_reach_later_incarnation || !reachable(server) ||
+        server.info.born == order.server_born)
+    {
+        return false;
+    }
+    // The report that opens each connection shows it, so the order is not sent.
+    owner_->apply_report(order.server, make_report(server), now_, now_);
+    owner_->start_answered(order, worker::order_outcome::not_sent, now_);
+    return true;
+}
+
 void scheduler_simulation::send(const worker::start_order& order)
 {
     using worker::order_outcome;
@@ -647,24 +697,26 @@
         owner_->start_answered(order, order_outcome::not_sent, now_);
         return;
     }
-    // The servers' clocks equal the simulated clock.
-    const steady_time deadline{granted};
+    if (reaches_other_incarnation(order))
+    {
+        return;
+    }
     order_outcome outcome = order_outcome::unknown;
     if (now_ < orders_held_until_)
     {
         const milliseconds delay(std::uniform_int_distribution<int>(1'000, 5'000)(random_));
-        delayed_starts_.push_back({now_ + delay, order, term_, deadline, false});
+        delayed_starts_.push_back({now_ + delay, order, term_, granted, false});
     }
     else if (chance(rates_.delayed_order))
     {
         const bool in_network = random_() % 2 == 0;
         const milliseconds delay(
             in_network ? 50 : std::uniform_int_distribution<int>(200, 4'000)(random_));
-        delayed_starts_.push_back({now_ + delay, order, term_, deadline, in_network});
+        delayed_starts_.push_back({now_ + delay, order, term_, granted, in_network});
     }
     else
     {
-        outcome = start(order, term_, deadline);
+        outcome = start(order, term_, granted);
         outcome = chance(rates_.lost_answer) ? order_outcome::unknown : outcome;
     }
     if (outcome == order_outcome::unknown && bug_ == injected_bug::unanswered_start_is_not_run)
@@ -704,21 +756,16 @@
             continue;
         }
         server.highest_token = std::max(server.highest_token, term_);
-        if (lease.count() > 0)
+        const bool is_identified = known->info.born == server.info.born ||
+                                   bug_ == injected_bug::calls_reach_later_incarnation;
+        if (lease.count() > 0 && is_identified)
         {
-            server.lease_end = std::max(server.lease_end, steady_time(lease));
+            extend_lease(server, lease);
         }
         acknowledge_ends(server, bug_ == injected_bug::ends_acknowledged_before_stored
                                      ? known->ends_read
                                      : known->ends_stored);
-        worker::report report;
-        report.born = server.info.born;
-        report.clock = std::chrono::duration_cast<milliseconds>(now_.time_since_epoch());
-        for (const auto& running : server.running)
-        {
-            report.running.push_back({running.first, running.second.run, "", 100, 0});
-        }
-        report.ended = server.ended;
+        const worker::report report = make_report(server);
         server.info.clock = report.clock;
         if (server.registration.born == server.info.born)
         {
--- a/tests/scheduler/scheduler_simulation.hpp
+++ b/tests/scheduler/scheduler_simulation.hpp
@@ -39,7 +39,10 @@
     /// A stop is sent once for each run, whether it is answered or not.
     stops_not_repeated,
     /// No stop is sent while a transaction is under way.
-    stops_wait_for_transaction
+    stops_wait_for_transaction,
+    /// Calls reach whichever incarnation is up, and the owner assumes that a restarted server holds
+    /// no longer lease than it was meant to.
+    calls_reach_later_incarnation
 };
 
 /// Probabilities of faults, for each order or each step of 50 ms.
@@ -115,6 +118,9 @@
     /// Restarts a server at once under the same id.
     void restart_server(const std::string& id);
 
+    /// Cuts off one server.
+    void cut_server(const std::string& id, milliseconds time);
+
     /// For some time, start orders are not answered, and executed 1 s to 5 s late.
     void hold_orders(milliseconds time) { orders_held_until_ = now_ + time; }
 
@@ -165,6 +171,8 @@
         /// Its registration in the store; follows `info` some time after a restart.
         worker::server registration;
         steady_time register_at{};
+        /// When its clock showed zero; each incarnation has a clock of its own.
+        steady_time clock_start{};
         bool up = true;
         steady_time restart_at{};
         /// Crashed by a task: its machine's next incarnation has another id.
@@ -198,7 +206,7 @@
         steady_time at{};
         worker::start_order order;
         std::int64_t token = 0;
-        steady_time deadline{};
+        milliseconds deadline{0};
         /// Delayed by the network for one step, not by the server.
         bool in_network = false;
     };
@@ -221,8 +229,14 @@
     void deliver_delayed_starts();
     void deliver_delayed_stops();
     void change_capacity();
+    /// `deadline` is on the clock of the incarnation that was meant.
     worker::order_outcome start(const worker::start_order& order, std::int64_t token,
-                                steady_time deadline);
+                                milliseconds deadline);
+    [[nodiscard]] milliseconds clock_of(const fake_server& server) const;
+    void extend_lease(fake_server& server, milliseconds deadline) const;
+    [[nodiscard]] worker::report make_report(const fake_server& server) const;
+    /// True if the order's connection reaches a later incarnation, which is then reported instead.
+    bool reaches_other_incarnation(const worker::start_order& order);
     worker::order_outcome stop(const worker::stop_order& order, std::int64_t token);
     void send(const worker::start_order& order);
     void send(const worker::stop_order& order);
--- a/tests/scheduler/scheduler_simulation_faults.cpp
+++ b/tests/scheduler/scheduler_simulation_faults.cpp
@@ -72,6 +72,11 @@
     server.restart_at = now_;
 }
 
+void scheduler_simulation::cut_server(const std::string& id, milliseconds time)
+{
+    servers_.at(id).partitioned_until = now_ + time;
+}
+
 std::string scheduler_simulation::any_server()
 {
     std::vector<std::string> ids;
