--- a/src/manager/daemon.cpp
+++ b/src/manager/daemon.cpp
@@ -236,7 +236,7 @@
         co_return reports;
     }
 
-    /// Asks other hosts about the store. The owner asks each of them at least once a second, so
+    /// Asks other hosts about the store. The owner asks each of them within a few checks, so
     /// that it learns of a takeover by any of them.
     boost::asio::awaitable<bool> check_isolation(std::size_t round)
     {
