Play restarts of servers under their ids in the soak

The soak's stand-ins kept their connections open when they crashed, which no process does, registered anew at once, and had no tasks that last, so a restart that is cut off soon after was never played.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,11 +1,14 @@
 #!/usr/bin/env python3
 """Fault soak: real daemons as processes, faults from outside them, and a check of what callers and servers see.
 
-    soak.py [--seed N] [--seeds COUNT] [--regressions] [--seconds S] [--hosts N] [--servers N] [--parallel N] [--logs DIR]
+    soak.py [--seed N] [--seeds COUNT] [--regressions] [--restarts] [--seconds S] [--hosts N] [--servers N]
+            [--parallel N] [--logs DIR]
 
 Plays one run a seed: callers hand in, ask for and cancel jobs through random entry hosts while processes are killed,
 paused, stopped and told to reload, and their calls to the store and to backend servers are disturbed. Faults come in
 series and overlap. A calm phase follows, after which every accepted job has to be finished. Prints each breach.
+With --restarts, the faults are servers that restart under their ids and are cut off soon after, while tasks that last
+start there.
 """
 import argparse
 import asyncio
@@ -175,7 +178,7 @@
         while True:
             for server in self.servers:
                 server.advance()
-                if server.connection.mode != "silent":
+                if server.connection.mode != "silent" and time.monotonic() >= server.quiet_until:
                     self.store.write("servers", "", server.id, server.registration())
             await asyncio.sleep(HEARTBEAT / 3)
 
@@ -280,6 +283,70 @@
             await asyncio.sleep(length)
             server.fail_share = 0.0
 
+    async def hand_in_lasting(self, server):
+        """Hands in a job of tasks that last, whose data is in the rack of the server."""
+        name = f"{self.random.getrandbits(64):016x}"
+        prefix = next(prefix for prefix, pool in QUEUES.items() if pool == server.pool)
+        # Longer than any run of the soak.
+        job = {"steps": [{"count": 3, "cpu": 500, "ms": 3_600_000}], "spec": "spec " + name, "path": prefix + name,
+               "refused": False, "state": None, "accepted": False, "accepted_at": time.monotonic()}
+        self.checks.jobs[name] = job
+        body = {"spec": job["spec"], "steps": [{"cpu": 500, "mem-mb": 64, "count": 3, "est-duration-ms": 1000,
+                                                "long-running": True, "may-miss": 1, "data-rack": server.rack}]}
+        for host in self.random.sample(self.hosts, len(self.hosts)):
+            answer = await host.call("POST", job["path"], body)
+            if answer and answer[0] == 200:
+                job["accepted"], job["accepted_at"] = True, time.monotonic()
+                return
+            await asyncio.sleep(0.2)
+
+    async def restart_and_cut(self, server):
+        chance = self.random
+        quiet, cut = chance.uniform(0.1, 1.5), chance.uniform(0.1, 2.0)
+        handover = chance.choice([None, None, signal.SIGTERM, signal.SIGKILL])
+        self.faults.append(f"{time.monotonic() - self.begin:.2f} restart {server.id} registers after {quiet:.1f}, "
+                           f"cut after {cut:.1f}, owner {handover}")
+        for run in list(server.running.values()):
+            server.end(run, "lost")
+        server.quiet_until = time.monotonic() + quiet
+        server.begin_life()
+        submitted = asyncio.create_task(self.hand_in_lasting(server))
+        await asyncio.sleep(cut)
+        server.connection.mode = "silent"
+        row = self.store.rows.get(("owner", "q", "owner"))
+        owner = json.loads(row[0])["host"] if row else None
+        host = next((host for host in self.hosts if host.name == owner), None)
+        if handover and host:
+            async with host.restarting:
+                await host.end(handover)
+                await host.start()
+        await asyncio.sleep(12.0)
+        server.connection.mode = "ok"
+        await submitted
+
+    async def play_restarts(self):
+        """Restarts one server after the other; each is cut off for longer than its longest lease."""
+        await asyncio.sleep(5.0)
+        rounds = []
+        for server in self.random.sample(self.servers, len(self.servers) // 2):
+            rounds.append(asyncio.create_task(self.restart_and_cut(server)))
+            await asyncio.sleep(self.random.uniform(0.5, 4.0))
+        await asyncio.gather(*rounds)
+        for name, job in self.checks.jobs.items():
+            job["cancel"] = True
+            while job["accepted"] and await self.ask(name, self.hosts[0]) != "cancelled":
+                await self.random.choice(self.hosts).call("DELETE", job["path"])
+                await asyncio.sleep(0.2)
+
+    async def play_faults(self):
+        until = self.begin + self.options.seconds
+        callers = [asyncio.create_task(self.caller(number, until)) for number in range(6)]
+        open_faults = []
+        while time.monotonic() < until:
+            open_faults.append(asyncio.create_task(self.fault()))
+            await asyncio.sleep(self.random.choice([0.05, 0.3, 0.8, 2.0]))
+        await asyncio.gather(*callers, *open_faults)
+
     async def play(self):
         for server in self.servers:
             await server.connection.listen(server.ip, standin.SERVER_PORT)
@@ -291,13 +358,7 @@
         await asyncio.gather(*(host.start() for host in self.hosts))
         await asyncio.sleep(1.5)
         self.begin = time.monotonic()
-        until = self.begin + self.options.seconds
-        callers = [asyncio.create_task(self.caller(number, until)) for number in range(6)]
-        open_faults = []
-        while time.monotonic() < until:
-            open_faults.append(asyncio.create_task(self.fault()))
-            await asyncio.sleep(self.random.choice([0.05, 0.3, 0.8, 2.0]))
-        await asyncio.gather(*callers, *open_faults)
+        await (self.play_restarts() if self.options.restarts else self.play_faults())
         for host in self.hosts:
             if host.process.returncode is not None:
                 self.checks.breach("FAULT", f"{host.name} ended by itself with {host.process.returncode}")
@@ -334,6 +395,7 @@
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--servers", type=int, default=8)
     parser.add_argument("--regressions", action="store_true", help="play the seeds of regressions.txt")
+    parser.add_argument("--restarts", action="store_true", help="restart servers under their ids, and cut them off")
     parser.add_argument("--parallel", type=int, default=1)
     parser.add_argument("--logs", type=pathlib.Path)
     options = parser.parse_args()
--- a/tests/soak/standin.py
+++ b/tests/soak/standin.py
@@ -32,6 +32,7 @@
         # ok, delay, reset (before the call is performed), silent (neither), lost (performed, not answered), busy (503)
         self.mode = "ok"
         self.delay = 0.0
+        self.writers = set()
         # Faults of the stand-in itself.
         self.failures = []
 
@@ -41,7 +42,13 @@
     async def close(self):
         self.server.close()
 
+    def abort(self):
+        """Closes all connections, as the end of a process does."""
+        for writer in self.writers:
+            writer.transport.abort()
+
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
@@ -74,6 +81,7 @@
         except Exception as failure:  # pylint: disable=broad-except
             self.failures.append(repr(failure))
         finally:
+            self.writers.discard(writer)
             writer.close()
 
 
@@ -180,12 +188,16 @@
         self.pool, self.ip, self.watch = pool, ip, watch
         self.random = random.Random(seed)
         self.capacity = 4000
+        self.rack = f"r{number}"
         self.late_share = 0.0
         self.fail_share = 0.0
+        # Until then a new incarnation has not registered yet.
+        self.quiet_until = 0.0
         self.connection = Connection(self.answer)
         self.begin_life()
 
     def begin_life(self):
+        self.connection.abort()
         self.born = int(time.time() * 1000)
         self.started = time.monotonic()
         self.running, self.ended, self.closed = {}, [], {}
@@ -200,7 +212,7 @@
         self.seq += 1
         return {"service": self.pool, "address": f"{self.ip}:{SERVER_PORT}", "zone": "z1", "version": "1", "slots": 8,
                 "state": "ready", "cold-remaining-ms": 0, "seq": self.seq, "born": self.born, "machine": "m" + self.id,
-                "capacity": {"cpu": self.capacity, "mem-mb": 64000, "gpu": 0}, "labels": ["k1", "r1"],
+                "capacity": {"cpu": self.capacity, "mem-mb": 64000, "gpu": 0}, "labels": ["k1", self.rack],
                 "clock-ms": self.clock()}
 
     def end(self, run, how):
