Use no new registration of a pool that is not configured

Cause: registrations were not compared with the configuration, and one with a later start ends the earlier servers of its machine. An entry of another writer names no server to use.

Why it works: a registration of an unknown id in a pool that is not configured is left out before it is compared with others, and logged once. A known server stays in use when its pool is removed, so that its runs are looked after.

The fixtures of the manager's tests now configure the pool of their servers, as every valid configuration does.

--- a/src/manager/configuration.hpp
+++ b/src/manager/configuration.hpp
@@ -2,6 +2,7 @@
 
 #include "job/queue.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -25,6 +26,12 @@
     std::vector<job::queue> queues;
     std::vector<pool> pools;
 
+    [[nodiscard]] bool has_pool(std::string_view name) const
+    {
+        return std::any_of(pools.begin(), pools.end(),
+                           [&](const pool& candidate) { return candidate.name == name; });
+    }
+
     /// Returns the queue of `host` with the longest prefix that matches `path`, or null.
     [[nodiscard]] const job::queue* find_queue(std::string_view host, std::string_view path) const
     {
--- a/src/manager/owner_session.cpp
+++ b/src/manager/owner_session.cpp
@@ -325,6 +325,22 @@
     wake_timer_.cancel();
 }
 
+bool owner_session::is_usable(const worker::server& info)
+{
+    // A server that is known goes on with its runs when its pool is removed.
+    const bool usable = scheduler_.find_server(info.id) != nullptr || !shared_.current ||
+                        shared_.current->has_pool(info.pool);
+    if (!usable && unusable_servers_.insert(info.id).second)
+    {
+        log_event(log_level::warning, "server_not_used",
+                  {{"server", info.id},
+                   {"pool", info.pool},
+                   {"machine", info.machine},
+                   {"reason", "no such pool is configured"}});
+    }
+    return usable;
+}
+
 void owner_session::apply_servers(const std::vector<adapter::row>& rows, bool is_snapshot)
 {
     const steady_time now = shared_.now();
@@ -340,7 +356,7 @@
         const std::optional<worker::server> info =
             parse_or_log("server_unreadable", row.key, row.version,
                          [&] { return adapter::parse_server(row.key, row.value); });
-        if (!info)
+        if (!info || !is_usable(*info))
         {
             continue;
         }
--- a/src/manager/owner_session.hpp
+++ b/src/manager/owner_session.hpp
@@ -132,6 +132,9 @@
     [[nodiscard]] bool may_plan_starts();
     /// False while another host may have taken over.
     [[nodiscard]] bool may_renew_leases();
+    /// False for a registration of a server that is not known, in a pool that is not configured: it
+    /// may come from another writer, so it must not replace the server on its machine.
+    [[nodiscard]] bool is_usable(const worker::server& info);
     void apply_servers(const std::vector<adapter::row>& rows, bool is_snapshot);
     void apply_jobs(const std::vector<adapter::row>& rows);
     void apply_job(const adapter::row& row);
@@ -173,6 +176,8 @@
     /// Jobs whose stored progress cannot be read. They are not scheduled, as tasks of theirs that
     /// have ended would run again.
     std::set<std::string, std::less<>> unreadable_jobs_;
+    /// Ids of registrations that are not used, to log each of them once.
+    std::set<std::string, std::less<>> unusable_servers_;
     /// Rows of the cancellations table whose jobs are not known yet, by job.
     std::map<std::string, adapter::row, std::less<>> early_cancellations_;
     /// The scheduler knows all jobs stored up to here.
--- a/tests/manager/overloaded_owner.hpp
+++ b/tests/manager/overloaded_owner.hpp
@@ -261,7 +261,9 @@
         store_server = serve(io, values.store, store);
         backend_server = serve(io, backend, servers);
         shared = std::make_unique<context>(values, io);
-        shared->current = std::make_shared<configuration>();
+        configuration current;
+        current.pools.push_back({"pool", false});
+        shared->current = std::make_shared<configuration>(current);
         session = std::make_shared<owner_session>(*shared, 1, store.version, shared->now());
     }
 
--- a/tests/manager/owner_overload_test.cpp
+++ b/tests/manager/owner_overload_test.cpp
@@ -162,3 +162,27 @@
     owner.time_to_run(10, milliseconds(1'500));
     CHECK(owner.servers.stops == stops);
 }
+
+TEST_CASE("a registration in a pool that is not configured replaces no server", "[manager]")
+{
+    // Guards against two runs of a task: an entry of another writer, with a sound server's machine
+    // and a later start, ended that server for the owner.
+    overloaded_owner owner(2, 4);
+    const boost::json::object odd{
+        {"machine", "m0"},
+        {"service", "unknown"},
+        {"zone", "zone"},
+        {"state", "ready"},
+        {"address", "127.0.0.1:1"},
+        {"born", born + 1'000'000},
+        {"clock-ms", clock_now()},
+        {"capacity", boost::json::object{{"cpu", 8'000}, {"mem-mb", 16'000}}}};
+    owner.store.servers.push_back(
+        stand_in_store::make_row("servers", "t", boost::json::serialize(odd)));
+    owner.time_to_run(4, milliseconds(5'000));
+    REQUIRE(owner.servers.running_tasks() == 4);
+    const scheduler::server_state* sound = owner.session->job_scheduler().find_server("s0");
+    REQUIRE(sound != nullptr);
+    CHECK_FALSE(sound->incarnation_ended);
+    CHECK(owner.session->job_scheduler().find_server("t") == nullptr);
+}
--- a/tests/manager/restarted_server_test.cpp
+++ b/tests/manager/restarted_server_test.cpp
@@ -36,7 +36,9 @@
             stand_in_store::make_row("servers", "s", boost::json::serialize(registration)));
         store_server = serve(io, values.store, store);
         shared = std::make_unique<context>(values, io);
-        shared->current = std::make_shared<configuration>();
+        configuration current;
+        current.pools.push_back({"pool", false});
+        shared->current = std::make_shared<configuration>(current);
         session = std::make_shared<owner_session>(*shared, 1, store.version, shared->now());
         session->start();
     }
