Keep the orders of former owners in the record of orders

Cause: a new owner leaves machines alone that a former owner has ordered recently, by a stored record. Each owner wrote the record from its own orders only, so the second owner's first order erased those of the first, and the third knew nothing of them.

--- a/src/manager/fleet_controller.hpp
+++ b/src/manager/fleet_controller.hpp
@@ -87,6 +87,9 @@
     boost::asio::awaitable<void> load_waves();
     /// Reads which machines former owners have ordered.
     boost::asio::awaitable<bool> load_orders();
+    /// Machines that this owner or a former one has ordered recently, and when. A later owner has
+    /// to leave them alone, however soon it takes over.
+    [[nodiscard]] std::map<std::string, steady_time> recent_orders() const;
     /// Stores the machines with recent orders, on condition that this host is still the owner.
     boost::asio::awaitable<bool> store_orders();
     boost::asio::awaitable<void> send_planned_orders();
--- a/src/manager/fleet_controller_orders.cpp
+++ b/src/manager/fleet_controller_orders.cpp
@@ -87,6 +87,29 @@
     co_return true;
 }
 
+std::map<std::string, steady_time> fleet_controller::recent_orders() const
+{
+    std::map<std::string, steady_time> result;
+    const steady_time oldest = shared_.now() - order_memory();
+    for (const auto& entry : machines_)
+    {
+        if (entry.second.ordered_at > oldest)
+        {
+            result[entry.first] = entry.second.ordered_at;
+        }
+    }
+    for (const auto& entry : reserved_until_)
+    {
+        const steady_time ordered_at = entry.second - order_memory();
+        if (ordered_at > oldest)
+        {
+            steady_time& latest = result.try_emplace(entry.first, ordered_at).first->second;
+            latest = std::max(latest, ordered_at);
+        }
+    }
+    return result;
+}
+
 boost::asio::awaitable<bool> fleet_controller::store_orders()
 {
     // A transaction that is repeated takes long, so the record names the latest attempt.
@@ -99,14 +122,11 @@
         }
     }
     boost::json::object body;
-    for (const auto& entry : machines_)
+    for (const auto& entry : recent_orders())
     {
         const milliseconds age =
-            std::chrono::duration_cast<milliseconds>(shared_.now() - entry.second.ordered_at);
-        if (age < order_memory())
-        {
-            body[entry.first] = (shared_.store_time() - age).count();
-        }
+            std::chrono::duration_cast<milliseconds>(shared_.now() - entry.second);
+        body[entry.first] = (shared_.store_time() - age).count();
     }
     adapter::transaction work;
     work.conditions.push_back(
@@ -122,10 +142,9 @@
     // Punctuation and the time.
     constexpr std::size_t entry_overhead = 24;
     std::size_t bytes = entry_overhead;
-    for (const auto& entry : machines_)
+    for (const auto& entry : recent_orders())
     {
-        const bool is_recent = shared_.now() - entry.second.ordered_at < order_memory();
-        bytes += is_recent ? entry.first.size() + entry_overhead : 0;
+        bytes += entry.first.size() + entry_overhead;
     }
     while (bytes > shared_.config.max_row_bytes && !planned_orders_.empty())
     {
--- a/tests/manager/fleet_controller_test.cpp
+++ b/tests/manager/fleet_controller_test.cpp
@@ -1,3 +1,4 @@
+#include "core/base64.hpp"
 #include "http/server.hpp"
 #include "manager/fleet_controller.hpp"
 #include "platform/loopback.hpp"
@@ -36,18 +37,34 @@
         }
         if (is_commit && received.body().find("\"orders\"") != std::string::npos)
         {
+            const boost::json::value work = boost::json::parse(received.body());
+            recorded =
+                base64_decode(work.at("set-keys").at(0).at("value").as_string()).value_or("");
             on_record();
             boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, record_time);
             co_await timer.async_wait(boost::asio::use_awaitable);
         }
         version += is_commit ? 1 : 0;
         server_reads += target.find(servers_table) != std::string::npos ? 1 : 0;
+        boost::json::array rows;
+        if (!is_commit && target.find("table=fleet") != std::string::npos &&
+            target.find("from=orders") != std::string::npos && !former_orders.empty())
+        {
+            rows.push_back(boost::json::object{{"table", "fleet"},
+                                               {"part", ""},
+                                               {"key", "orders"},
+                                               {"value", base64_encode(former_orders)},
+                                               {"row-version", 5}});
+        }
         co_return http::make_response(
             http::status::ok,
             boost::json::serialize(boost::json::object{
-                {"rows", boost::json::array{}}, {"row-version", version}, {"now-ms", 1'000}}));
+                {"rows", std::move(rows)}, {"row-version", version}, {"now-ms", 1'000}}));
     }
 
+    /// Orders that a former owner has recorded, and the latest record of this one.
+    std::string former_orders;
+    std::string recorded;
     /// Writes to the status table are refused.
     bool status_fails = false;
     /// Called before orders are recorded, which takes `record_time`.
@@ -99,8 +116,9 @@
 /// An owner with one backend server, which is idle, and its fleet controller.
 struct fleet_fixture
 {
-    fleet_fixture()
+    explicit fleet_fixture(const std::string& former_orders = {})
     {
+        store.former_orders = former_orders;
         settings values;
         values.host = "host-a";
         values.store = test::free_address();
@@ -323,3 +341,17 @@
     fleet.run_for(milliseconds(1'000));
     CHECK(fleet.machines.orders == 0);
 }
+
+TEST_CASE("a record of orders keeps those of the owner before", "[manager]")
+{
+    // Guards against a third owner in a rolling restart that orders machines which the first has
+    // ordered a moment ago.
+    fleet_fixture fleet(R"({"other":990})");
+    fleet.maintain();
+    REQUIRE(fleet.run_until([&] { return fleet.machines.orders == 1; }));
+    const boost::json::object recorded = boost::json::parse(fleet.store.recorded).as_object();
+    CHECK(recorded.contains("m"));
+    REQUIRE(recorded.contains("other"));
+    CHECK(recorded.at("other").to_number<std::int64_t>() <= 990);
+    CHECK(recorded.at("other").to_number<std::int64_t>() >= 980);
+}
