Move messages to backend servers instead of copying them

Cause: since calls are bound to incarnations, each message and its limits were copied twice before they were sent, through one more coroutine, and the connection was looked up with the copy in hand, though nearly every call finds one.

Now the usual case sends first and moves what it sends; what is needed to open a connection is made only then. The connection is checked once, as before.

No test shows processor time; the tests of the adapter cover both ways.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -60,6 +60,15 @@
     buffer_.clear();
 }
 
+bool client_connection::check_open()
+{
+    if (open_ && is_stale())
+    {
+        close();
+    }
+    return open_;
+}
+
 bool client_connection::is_stale()
 {
     asio::ip::tcp::socket& socket = stream_.socket();
@@ -130,9 +139,9 @@
                                                              exchange_limits limits)
 {
     exchange_result result;
-    if (open_ && is_stale())
+    if (limits.may_connect)
     {
-        close();
+        check_open();
     }
     if (std::chrono::steady_clock::now() >= limits.start_by)
     {
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -26,7 +26,7 @@
     /// Checked immediately before the first byte is written; if it returns false, the request is
     /// not run. Empty means that the request is always permitted.
     std::function<bool()> may_start;
-    /// False to use the connection only as long as it is open; it is not made anew.
+    /// False to use the connection as it is: it is neither checked nor made anew.
     bool may_connect = true;
     /// The whole answer is read before this.
     std::chrono::steady_clock::time_point deadline = std::chrono::steady_clock::time_point::max();
@@ -105,6 +105,10 @@
     /// Closes the connection; an exchange in progress fails.
     void close();
 
+    /// Closes the idle connection if the server has closed it or sent something unasked. Returns
+    /// true if it is open.
+    bool check_open();
+
     [[nodiscard]] const address& server() const { return server_; }
 
 private:
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -97,19 +97,20 @@
 }
 
 boost::asio::awaitable<std::optional<exchange_result>>
-connection_pool::call_peer(const address& server, std::int64_t peer, request message,
-                           exchange_limits limits)
+connection_pool::call_peer(const address& server, std::int64_t peer, request& message,
+                           exchange_limits& limits)
 {
-    limits.may_connect = false;
-    while (std::optional<pooled_connection> entry = take_idle(server, peer))
+    std::optional<pooled_connection> entry = take_idle(server, peer);
+    while (entry && !entry->connection->check_open())
     {
-        exchange_result result = co_await exchange(std::move(*entry), message, limits);
-        if (result.failure != exchange_failure::connect)
-        {
-            co_return result;
-        }
+        entry = take_idle(server, peer);
+    }
+    if (!entry)
+    {
+        co_return std::nullopt;
     }
-    co_return std::nullopt;
+    limits.may_connect = false;
+    co_return co_await exchange(std::move(*entry), std::move(message), std::move(limits));
 }
 
 boost::asio::awaitable<exchange_result>
--- a/src/http/connection_pool.hpp
+++ b/src/http/connection_pool.hpp
@@ -50,9 +50,10 @@
                                                  exchange_limits limits);
 
     /// As above, only on an open connection that `identify` has assigned to `peer`, so that no
-    /// later process at the same address receives the message; nothing if there is none.
+    /// later process at the same address receives the message. Nothing if there is none; `message`
+    /// and `limits` are unchanged then, else they are moved from.
     boost::asio::awaitable<std::optional<exchange_result>>
-    call_peer(const address& server, std::int64_t peer, request message, exchange_limits limits);
+    call_peer(const address& server, std::int64_t peer, request& message, exchange_limits& limits);
 
     /// Notes which process answers on a connection, by the number in its latest result. `peer` is
     /// any number but zero. The note ends with the connection.
